--- a/backend/outcome.go
+++ b/backend/outcome.go
@@ -54,3 +54,10 @@
 func (noExchange) Sent(time.Time)         {}
 func (noExchange) Head(time.Time)         {}
 func (noExchange) End(time.Time, Outcome) {}
+
+var outcomeNames = [...]string{
+	"", "answered", "error", "shed", "truncated", "crossed", "unreachable", "aborted", "timeout", "cancelled",
+}
+
+// String returns the outcome's name for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
--- a/backend/slots.go
+++ b/backend/slots.go
@@ -16,6 +16,14 @@
 	Weight int
 	// NoWait says that the request goes to another endpoint rather than wait here.
 	NoWait bool
+	// Priority ranks waiting requests, 0 first.
+	Priority int
+	// Repeatable says that the request may run again.
+	Repeatable bool
+	// Repeat says that an earlier try of the request has reached a backend server.
+	Repeat bool
+	// LastResort says that no other endpoint takes the request.
+	LastResort bool
 }
 
 // Gate hands out the slots of a backend server.
--- /dev/null
+++ b/choice/placement.go
@@ -0,0 +1,215 @@
+package choice
+
+import (
+	"sync"
+	"time"
+
+	"amaranthstile/backend"
+	"amaranthstile/entry"
+	"amaranthstile/membership"
+	"amaranthstile/result"
+)
+
+const (
+	// otherDomainCost is what an endpoint of another failure domain costs beside a near one, in usual requests: a small part,
+	// so that load goes elsewhere as soon as it would wait here.
+	otherDomainCost = 0.6
+	// busyCost is what each taken share of an endpoint's slots costs: of two endpoints with a free slot, the idler one is
+	// taken, which also spreads requests.
+	busyCost = 0.4
+	// warmingCost is what a cold start costs.
+	warmingCost = 0.5
+	// randomCost spreads the choices of instances that see the same.
+	randomCost = 0.3
+	// loadAge is how long a reported load counts, about one usual request.
+	loadAge = 250 * time.Millisecond
+	// linkRest is how long an instance that could not be reached is left out at first; it doubles up to linkRestMost.
+	linkRest     = 300 * time.Millisecond
+	linkRestMost = 4 * time.Second
+	// drainRest is how long an endpoint that refuses as draining or unknown is left out, until the membership tells more.
+	drainRest = 2 * time.Second
+)
+
+// PlacementOptions are the options of a Placement; all fields are needed.
+type PlacementOptions struct {
+	// Domain is the own failure domain.
+	Domain string
+	// Now returns the time.
+	Now func() time.Time
+	// Rand returns uniform random numbers from 0 to below 1; many requests call it at once.
+	Rand func() float64
+}
+
+// Placement chooses the endpoint of the least expected cost: the wait for a slot by what this instance has under way there
+// and by the load that the last answer told, the way to another failure domain, and a cold start. Endpoints whose exit
+// side told that they rest, and instances that can't be reached, are left out for that time. It implements entry.Selector
+// and suits instances that each see few of the requests for an endpoint.
+type Placement struct {
+	options PlacementOptions
+
+	mu        sync.Mutex
+	endpoints map[endpointKey]*placed // guarded by mu
+	links     map[membership.ID]*reach
+	swept     time.Time
+}
+
+type endpointKey struct {
+	instance membership.ID
+	backend  string
+}
+
+// placed is what this instance knows of an endpoint.
+type placed struct {
+	underWay int
+	load     backend.Load
+	loadAt   time.Time
+	restTill time.Time
+	usedAt   time.Time
+}
+
+// reach is what this instance knows of the way to another.
+type reach struct {
+	failures int
+	restTill time.Time
+}
+
+// NewPlacement returns a Placement that knows nothing.
+func NewPlacement(o PlacementOptions) *Placement {
+	return &Placement{options: o, endpoints: make(map[endpointKey]*placed), links: make(map[membership.ID]*reach)}
+}
+
+// Select implements entry.Selector.
+func (p *Placement) Select(q entry.Query) (membership.Candidate, bool) {
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	var best membership.Candidate
+	var bestCost float64
+	found := false
+	for _, c := range q.Directory.Endpoints(q.Service) {
+		if c.Instance.Leaving || c.State == membership.Draining || tried(q.Tried, c) {
+			continue
+		}
+		if p.resting(now, c) {
+			continue
+		}
+		cost := p.cost(now, c)
+		if !found || cost < bestCost {
+			best, bestCost, found = c, cost, true
+		}
+	}
+	if found {
+		e := p.endpoint(best)
+		e.underWay++
+		e.usedAt = now
+	}
+	return best, found
+}
+
+func tried(list []membership.Candidate, c membership.Candidate) bool {
+	for _, x := range list {
+		if x.Instance.ID == c.Instance.ID && x.Backend == c.Backend {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placement) resting(now time.Time, c membership.Candidate) bool {
+	if l := p.links[c.Instance.ID]; l != nil && now.Before(l.restTill) {
+		return true
+	}
+	e := p.endpoints[endpointKey{c.Instance.ID, c.Backend}]
+	return e != nil && now.Before(e.restTill)
+}
+
+// cost is in usual requests.
+func (p *Placement) cost(now time.Time, c membership.Candidate) float64 {
+	cost := randomCost * p.options.Rand()
+	slots := float64(max(c.Slots, 1))
+	if e := p.endpoints[endpointKey{c.Instance.ID, c.Backend}]; e != nil {
+		busy := float64(e.underWay)
+		if age := now.Sub(e.loadAt); age < loadAge {
+			told := float64(e.load.Running+e.load.Waiting) * (1 - float64(age)/float64(loadAge))
+			busy = max(busy, told)
+		}
+		cost += busyCost*busy/slots + max(busy+1-slots, 0)/slots*2
+	}
+	if c.Instance.Domain != p.options.Domain {
+		cost += otherDomainCost
+	}
+	if c.State == membership.Warming {
+		cost += warmingCost
+	}
+	return cost
+}
+
+func (p *Placement) endpoint(c membership.Candidate) *placed {
+	key := endpointKey{c.Instance.ID, c.Backend}
+	e := p.endpoints[key]
+	if e == nil {
+		e = &placed{}
+		p.endpoints[key] = e
+	}
+	return e
+}
+
+// Done implements entry.Selector.
+func (p *Placement) Done(c membership.Candidate, t entry.Trial) {
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.endpoint(c)
+	e.underWay = max(e.underWay-1, 0)
+	if load, ok := backend.ParseLoad(t.Load); ok {
+		e.load, e.loadAt = load, now
+	}
+	switch result.CodeOf(t.Err) {
+	case result.LinkUnreachable, result.LinkBroken:
+		p.unreachable(now, c.Instance.ID)
+		return
+	case result.BackendEjected:
+		e.restTill = now.Add(result.RetryAfterOf(t.Err))
+	case result.BackendDraining, result.BackendUnknown, result.ShuttingDown:
+		e.restTill = now.Add(drainRest)
+	case result.BackendBusy, result.QueueFull:
+		e.load, e.loadAt = backend.Load{Running: max(c.Slots, 1), Slots: c.Slots}, now
+	}
+	delete(p.links, c.Instance.ID)
+}
+
+func (p *Placement) unreachable(now time.Time, id membership.ID) {
+	l := p.links[id]
+	if l == nil {
+		l = &reach{}
+		p.links[id] = l
+	}
+	rest := min(linkRest<<min(l.failures, 4), linkRestMost)
+	l.failures++
+	l.restTill = now.Add(rest)
+}
+
+const (
+	// sweepEvery and forgetAfter bound what is kept of endpoints that are gone.
+	sweepEvery  = 30 * time.Second
+	forgetAfter = time.Minute
+)
+
+// sweep forgets endpoints that were not used for long.
+func (p *Placement) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
+	for key, e := range p.endpoints {
+		if e.underWay == 0 && now.Sub(e.usedAt) > forgetAfter {
+			delete(p.endpoints, key)
+		}
+	}
+	for id, l := range p.links {
+		if now.Sub(l.restTill) > forgetAfter {
+			delete(p.links, id)
+		}
+	}
+}
--- a/cmd/amaranth-standin/main.go
+++ b/cmd/amaranth-standin/main.go
@@ -15,8 +15,8 @@
 	"time"
 
 	backendstandin "amaranthstile/backend/standin"
-	"amaranthstile/platform"
-	"amaranthstile/platform/standin"
+	"amaranthstile/store"
+	"amaranthstile/store/standin"
 )
 
 const usage = `usage: amaranth-standin platform [-listen IP:PORT]
@@ -53,7 +53,7 @@
 		return err
 	}
 	fmt.Println("platform stand-in listens on", l.Addr())
-	return serve(l, standin.New(platform.NewMemory()))
+	return serve(l, standin.New(store.NewMemory()))
 }
 
 func runBackend(args []string) error {
--- a/contract/index.go
+++ b/contract/index.go
@@ -16,7 +16,9 @@
 	Rate   float64 // requests per second over the whole fleet
 	Burst  int     // requests over the whole fleet
 	Weight int     // weight in fair queues, from 1
-	keys   []ticket.KeyHash
+	// Priority ranks the account's requests in place of the route's priority; nil leaves the route's.
+	Priority *int
+	keys     []ticket.KeyHash
 }
 
 // Index finds the client account of a key; a nil one is empty. It is immutable and swapped whole; With makes the next one and
@@ -62,7 +64,7 @@
 		if a == nil {
 			continue
 		}
-		out := &Account{Name: name, Rate: a.Rate, Burst: a.Burst, Weight: max(a.Weight, 1), keys: a.Keys}
+		out := &Account{Name: name, Rate: a.Rate, Burst: a.Burst, Weight: max(a.Weight, 1), Priority: a.Priority, keys: a.Keys}
 		accounts.Set(name, out)
 		for _, k := range a.Keys {
 			keys.Set(k.Short(), out)
--- /dev/null
+++ b/contract/pool.go
@@ -0,0 +1,142 @@
+package contract
+
+import "time"
+
+// Pool is the token bucket of one client account at its home, the one instance that counts for the fleet. It is a plain
+// state machine and not safe for concurrent use.
+//
+// Other instances spend first and tell at once while the pool is well filled, so that a request waits for nobody; once it
+// is low they ask before they spend. The level may therefore fall below zero, by what was spent while the news was on its way.
+type Pool struct {
+	rate, burst float64
+	level       float64
+	at          time.Time
+	started     bool
+}
+
+// newHomeLevel is the share of the burst with which an account starts at a home: a new one does not know what was spent at
+// the home before it.
+const newHomeLevel = 0.5
+
+// Set takes over the account's rate and burst in force.
+func (p *Pool) Set(now time.Time, rate, burst float64) {
+	if !p.started {
+		p.started, p.at, p.level = true, now, newHomeLevel*burst
+	}
+	p.refill(now)
+	p.rate, p.burst = rate, burst
+	p.level = min(p.level, burst)
+}
+
+func (p *Pool) refill(now time.Time) {
+	if passed := now.Sub(p.at).Seconds(); passed > 0 {
+		p.level = min(p.level+passed*p.rate, p.burst)
+		p.at = now
+	}
+}
+
+// Spend notes what was spent already, grants what is asked as far as there are tokens, and tells how full the pool is.
+func (p *Pool) Spend(now time.Time, spent, asked int) PoolState {
+	p.refill(now)
+	p.level = max(p.level-float64(spent), -p.burst)
+	granted := min(asked, int(max(p.level, 0)))
+	p.level -= float64(granted)
+	s := PoolState{Granted: granted, Level: p.level / max(p.burst, 1)}
+	if p.level < 1 && p.rate > 0 {
+		s.NextMillis = int64((1 - p.level) / p.rate * 1000)
+	}
+	return s
+}
+
+// PoolState is the answer of a home.
+type PoolState struct {
+	// Granted is how many of the asked requests may go.
+	Granted int `json:"granted,omitempty"`
+	// Level is how full the pool is, up to 1; below 0 more was spent than there was.
+	Level float64 `json:"level"`
+	// NextMillis is when the next token is there, in milliseconds.
+	NextMillis int64 `json:"next,omitempty"`
+}
+
+const (
+	// freelyAbove is the level above which an instance spends first and tells then.
+	freelyAbove = 0.4
+	// stateAge is how long a told level holds. An account that was quiet for longer is asked for first.
+	stateAge = 3 * time.Second
+	// untoldMost bounds what an instance spends before its home has answered.
+	untoldMost = 2
+)
+
+// PurseVerdict is what a Purse decides.
+type PurseVerdict int
+
+// The verdicts.
+const (
+	// SpendNow lets the request go; its home is told.
+	SpendNow PurseVerdict = iota
+	// AskFirst lets the home decide.
+	AskFirst
+	// SpendOwn lets the request go on the instance's own part, while the home can't be reached.
+	SpendOwn
+	// Refuse refuses the request.
+	Refuse
+)
+
+// Purse is what one instance knows of one account's pool. It is a plain state machine and not safe for concurrent use.
+type Purse struct {
+	level    float64
+	toldAt   time.Time
+	untold   int
+	noneTill time.Time
+	own      float64 // tokens of the instance's own part
+	ownAt    time.Time
+}
+
+// Admit decides on one request. Reachable tells whether the home was reached of late, share is the instance's part of the
+// account while it is not.
+func (p *Purse) Admit(now time.Time, reachable bool, share PurseShare) (v PurseVerdict, after time.Duration) {
+	p.earn(now, share)
+	if !reachable {
+		if p.own >= 1 {
+			p.own--
+			return SpendOwn, 0
+		}
+		return Refuse, time.Duration((1 - p.own) / max(share.Rate, leastShare) * float64(time.Second))
+	}
+	if now.Before(p.noneTill) {
+		return Refuse, p.noneTill.Sub(now)
+	}
+	if now.Sub(p.toldAt) < stateAge && p.level > freelyAbove && p.untold < untoldMost {
+		p.untold++
+		return SpendNow, 0
+	}
+	return AskFirst, 0
+}
+
+// PurseShare is an instance's part of an account's rate and burst.
+type PurseShare struct{ Rate, Burst float64 }
+
+// leastShare keeps waits finite, in requests per second.
+const leastShare = 0.01
+
+func (p *Purse) earn(now time.Time, share PurseShare) {
+	if p.ownAt.IsZero() {
+		p.own = share.Burst
+	} else {
+		p.own += now.Sub(p.ownAt).Seconds() * share.Rate
+	}
+	p.own = min(p.own, max(share.Burst, 1))
+	p.ownAt = now
+}
+
+// Told takes over the home's answer to what was spent before.
+func (p *Purse) Told(now time.Time, spent int, s PoolState) {
+	p.untold = max(p.untold-spent, 0)
+	p.level, p.toldAt = s.Level, now
+	if s.NextMillis > 0 && s.Level <= 0 {
+		p.noneTill = now.Add(time.Duration(s.NextMillis) * time.Millisecond)
+	}
+}
+
+// Lost notes that the home did not answer: what was spent may not be known there.
+func (p *Purse) Lost(spent int) { p.untold = max(p.untold-spent, 0) }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,7 +12,7 @@
 	"amaranthstile/fleet"
 	"amaranthstile/instance"
 	"amaranthstile/membership"
-	"amaranthstile/platform/standin"
+	"amaranthstile/store/standin"
 	"amaranthstile/result"
 	"amaranthstile/ticket"
 )
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -12,9 +12,9 @@
 
 // deliver gives the answer to the caller. An answer that breaks off breaks the caller's connection, so that it
 // can't be taken for whole.
-func deliver(w http.ResponseWriter, r *http.Request, a *answer) {
+func (h *Handler) deliver(w http.ResponseWriter, r *http.Request, a *answer) {
 	if err := showEnd(w, r, a); err != nil {
-		refuse(w, r, err)
+		h.answerWith(w, r, err)
 		return
 	}
 	link.CopyAnswerHead(w.Header(), a.resp)
@@ -52,12 +52,17 @@
 }
 
 // refuse answers with an error of the fleet's own. The rest of the request's body is not waited for long.
-func refuse(w http.ResponseWriter, r *http.Request, err error) {
+func (h *Handler) refuse(w http.ResponseWriter, t *transfer, err error) {
+	h.options.Decided(t.decision(nil, err))
+	h.answerWith(w, t.request, err)
+}
+
+func (h *Handler) answerWith(w http.ResponseWriter, r *http.Request, err error) {
 	if r.Body != nil && r.Body != http.NoBody {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBody))
 	}
 	closeAfter(w, r)
-	link.WriteRefusal(w, err)
+	h.options.Refuse(w, err)
 }
 
 // closeAfter ends the connection after requests whose end two readers might see in two places: those in chunks,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,8 +49,14 @@
 	// Standing returns nil while the instance may act for client accounts on what it knows, and otherwise an error
 	// that carries NoStanding. It is asked right before each sending of a request that came with a key.
 	Standing func() error
-	// Once makes requests with an Idempotency-Key run at most once.
+	// Once makes requests with an Idempotency-Key run at most once; nil passes such keys on like any other header.
 	Once Once
+	// Refuse answers with an error of the fleet's own; default link.WriteRefusal.
+	Refuse func(w http.ResponseWriter, err error)
+	// CallerService returns the service beside which requests begin, for backend servers that ask for it; default none.
+	CallerService func() string
+	// Decided is told of each request when its answer begins; default nobody.
+	Decided func(Decision)
 }
 
 // Once decides which try with an Idempotency-Key runs.
@@ -70,6 +77,15 @@
 
 // New returns a handler.
 func New(o Options) *Handler {
+	if o.Refuse == nil {
+		o.Refuse = link.WriteRefusal
+	}
+	if o.CallerService == nil {
+		o.CallerService = func() string { return "" }
+	}
+	if o.Decided == nil {
+		o.Decided = func(Decision) {}
+	}
 	return &Handler{options: o}
 }
 
@@ -79,7 +95,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if r.URL.Path == once.PathPrefix {
+	if h.options.Once != nil && r.URL.Path == once.PathPrefix {
 		h.servePrefix(w, r)
 		return
 	}
@@ -87,18 +103,18 @@
 	if err == nil {
 		err = t.readBody(w, r)
 	}
-	if err == nil {
+	if err == nil && h.options.Once != nil {
 		err = t.takeKey()
 	}
 	if err != nil {
-		refuse(w, r, result.WithRun(err, result.NotRun))
+		h.refuse(w, t, result.WithRun(err, result.NotRun))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(timeLimit(r, t.route)))
 	defer cancel()
 	if t.account != nil {
 		if err := h.options.Admitter.Admit(ctx, t.account); err != nil {
-			refuse(w, r, result.WithRun(err, result.NotRun))
+			h.refuse(w, t, result.WithRun(err, result.NotRun))
 			return
 		}
 	}
@@ -108,30 +124,32 @@
 	}
 	won, err := h.run(ctx, t)
 	if err != nil {
-		refuse(w, r, err)
+		h.refuse(w, t, err)
 		return
 	}
 	defer won.close()
-	deliver(w, r, won.answer)
+	h.options.Decided(t.decision(won, nil))
+	h.deliver(w, r, won.answer)
 }
 
 // prepare finds the route and the client account.
 func (h *Handler) prepare(r *http.Request) (*transfer, error) {
 	view := h.options.View()
+	t := &transfer{request: r, view: view, arrived: time.Now(), callerService: h.options.CallerService()}
 	if view == nil {
-		return nil, result.New(result.NotReady, "the configuration is not loaded yet")
+		return t, result.New(result.NotReady, "the configuration is not loaded yet")
 	}
 	if headerBytes(r.Header) > maxHeaderBytes {
-		return nil, result.New(result.HeadersTooLarge, "headers are larger than %d bytes", maxHeaderBytes)
+		return t, result.New(result.HeadersTooLarge, "headers are larger than %d bytes", maxHeaderBytes)
 	}
 	if err := checkTarget(r); err != nil {
-		return nil, err
+		return t, err
 	}
 	found, ok := view.Routes.Lookup(r.Host, r.URL.Path)
 	if !ok {
-		return nil, result.New(result.RouteNotFound, "no route for this host and path")
+		return t, result.New(result.RouteNotFound, "no route for this host and path")
 	}
-	t := &transfer{request: r, route: found, view: view}
+	t.route, t.service = found, found.Pick(rand.Float64())
 	if found.Open {
 		return t, nil
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -27,7 +27,7 @@
 func (h *Handler) servePrefix(w http.ResponseWriter, r *http.Request) {
 	prefix, err := h.options.Once.Prefix(r.Context())
 	if err != nil {
-		refuse(w, r, result.WithRun(err, result.NotRun))
+		h.options.Refuse(w, result.WithRun(err, result.NotRun))
 		return
 	}
 	header := w.Header()
@@ -79,7 +79,7 @@
 	}
 	try, record, err := h.options.Once.Begin(ctx, request)
 	if err != nil {
-		refuse(w, t.request, err)
+		h.refuse(w, t, err)
 		return
 	}
 	if record != nil {
@@ -89,12 +89,13 @@
 	won, err := h.run(ctx, t)
 	if err != nil {
 		try.Settle(outcomeOf(err), nil)
-		refuse(w, t.request, err)
+		h.refuse(w, t, err)
 		return
 	}
 	defer won.close()
 	try.Settle(once.Ran, recordOf(won.answer))
-	deliver(w, t.request, won.answer)
+	h.options.Decided(t.decision(won, nil))
+	h.deliver(w, t.request, won.answer)
 }
 
 func outcomeOf(err error) once.Outcome {
--- a/entry/sending.go
+++ b/entry/sending.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// maxTries bounds how often one request is sent to a backend server.
-	maxTries = 4
 	// maxSends bounds how often one request is sent over a link, tries that were not run included.
 	maxSends = 16
 )
@@ -40,7 +38,7 @@
 		handler: h,
 		ctx:     ctx,
 		t:       t,
-		pacer:   h.pacers.of(t.route.Service),
+		pacer:   h.pacers.of(t.service),
 		results: make(chan *attempt, maxSends),
 		running: make(map[*attempt]struct{}, 1),
 	}
@@ -91,15 +89,20 @@
 			return true
 		}
 		s.keep(a)
+		s.t.reached = true
 		s.again()
 		return false
 	}
 	a.close()
 	s.last = s.t.worst(a.err)
 	if result.RunOf(a.err) != result.NotRun {
+		s.t.reached = true
 		s.again()
 		return false
 	}
+	if result.Is(a.err, result.BackendShed) {
+		s.t.reached = true
+	}
 	s.loads--
 	if !a.wait && result.Is(a.err, result.BackendBusy) {
 		s.t.noteBusy(a.to)
@@ -113,7 +116,7 @@
 // mayGoElsewhere tells whether a request that was not run may be sent to another endpoint.
 func (s *sending) mayGoElsewhere(err error) bool {
 	switch result.CodeOf(err) {
-	case result.NoStanding, result.KeyRejected, result.KeyMissing:
+	case result.NoStanding, result.KeyRejected, result.KeyMissing, result.RetryBudgetSpent:
 		return false
 	}
 	return !s.t.begun.Load() && s.sends < maxSends && s.ctx.Err() == nil
@@ -129,7 +132,7 @@
 
 // again sends a request that may be repeated to one more endpoint, within the budget.
 func (s *sending) again() {
-	if !s.hedged() || s.loads >= maxTries || s.ctx.Err() != nil {
+	if !s.hedged() || s.loads >= s.t.route.MaxRuns || s.ctx.Err() != nil {
 		return
 	}
 	if !s.pacer.take() {
@@ -154,6 +157,7 @@
 	t.tried = append(t.tried, c)
 	s.sends++
 	s.loads++
+	t.sends = s.sends
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{to: c, cancel: cancel, wait: wait}
 	s.running[a] = struct{}{}
@@ -205,7 +209,7 @@
 // failure is what the caller is told.
 func (s *sending) failure() error {
 	if s.last == nil {
-		s.last = result.WithRun(result.New(result.NoEndpoint, "no endpoint of service %s", s.t.route.Service), result.NotRun)
+		s.last = result.WithRun(result.New(result.NoEndpoint, "no endpoint of service %s", s.t.service), result.NotRun)
 	}
 	run := result.RunOf(s.last)
 	if broken := s.t.broken.Load(); broken != nil {
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -33,8 +33,12 @@
 type transfer struct {
 	request *http.Request
 	route   *route.Route
-	view    *View             // in which the route and the account were found
-	account *contract.Account // nil on an open route
+	service string // of the route, or the part of its split that was drawn
+	view    *View  // in which the route and the account were found
+	arrived time.Time
+	// callerService is the service beside which the request began, "" where that does not matter.
+	callerService string
+	account       *contract.Account // nil on an open route
 	// key is the caller's Idempotency-Key, "" without one.
 	key string
 
@@ -44,13 +48,15 @@
 	broken atomic.Pointer[error] // why rest could not be read
 
 	tried   []membership.Candidate
+	sends   int                    // over links
+	reached bool                   // an earlier try has reached a backend server
 	busy    []membership.Candidate // endpoints without a free slot for a try that would not wait
 	mayHave bool                   // an earlier try may have run
 }
 
 // query is what the selector is asked.
 func (t *transfer) query(d *membership.Directory) Query {
-	return Query{Directory: d, Service: t.route.Service, Tried: t.tried, Repeatable: t.repeatable()}
+	return Query{Directory: d, Service: t.service, Tried: t.tried, Repeatable: t.repeatable()}
 }
 
 // waitless tells whether the next try goes elsewhere rather than wait for a slot.
@@ -126,8 +132,17 @@
 	if t.repeatable() {
 		h.Set(link.HeaderRepeatable, "1")
 	}
-	delete(h, "Idempotency-Key")
+	if t.reached {
+		h.Set(link.HeaderRepeat, "1")
+	}
+	if p := t.priority(); p > 0 {
+		h.Set(link.HeaderPriority, strconv.Itoa(p))
+	}
+	if t.callerService != "" {
+		h.Set(link.HeaderCallerService, t.callerService)
+	}
 	if t.key != "" {
+		delete(h, "Idempotency-Key")
 		h.Set(link.HeaderIdempotencyKey, t.key)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -137,6 +152,14 @@
 	}
 }
 
+// priority ranks the request among those that wait for the same backend server, 0 first.
+func (t *transfer) priority() int {
+	if t.account != nil && t.account.Priority != nil {
+		return *t.account.Priority
+	}
+	return t.route.Priority
+}
+
 // keyHash is the hash of the caller's key, by which the exit side sees whether it still holds after a wait for a slot.
 func (t *transfer) keyHash() string {
 	key, _ := bearer(t.request)
--- a/event/event.go
+++ b/event/event.go
@@ -21,35 +21,47 @@
 	InstanceDraining ID = 1003
 	InstanceStopped  ID = 1004
 	ServerFailed     ID = 1005
+	SettingsReloaded ID = 1101
+	SettingsRefused  ID = 1102
+	LogDropped       ID = 1103
 
 	TicketAccepted ID = 2001
 	TicketRefused  ID = 2002
 	TicketInForce  ID = 2003
 	TicketDamaged  ID = 2004
 
-	TicketsCompacted ID = 2101
-	CompactionFailed ID = 2102
+	TicketsCompacted     ID = 2101
+	CompactionFailed     ID = 2102
+	ConfigurationInForce ID = 2201
+	ConfigurationRefused ID = 2202
 
 	PlatformAway ID = 3001
 	PlatformBack ID = 3002
 
-	RequestRefused ID = 4001
-	RequestRetried ID = 4002
+	RequestRefused  ID = 4001
+	RequestRetried  ID = 4002
+	RequestAnswered ID = 4003
+	HomeSilent      ID = 4205
+	TryEnded        ID = 4004
 
 	StandingGained ID = 4201
 	StandingLost   ID = 4202
 	RosterProposed ID = 4203
 
-	BackendAnnounced ID = 5001
-	BackendDraining  ID = 5002
-	BackendLeft      ID = 5003
-	BackendLapsed    ID = 5004
+	BackendAnnounced     ID = 5001
+	BackendDraining      ID = 5002
+	BackendLeft          ID = 5003
+	BackendLapsed        ID = 5004
+	BackendReported      ID = 5005
+	BackendReportIgnored ID = 5006
+	BackendReportRefused ID = 5007
 
 	EndpointEjected  ID = 5101
 	EndpointTrials   ID = 5102
 	EndpointReturned ID = 5103
 	LinkOutOfUse     ID = 5104
 	LinkBackInUse    ID = 5105
+	BackendRests     ID = 5106
 
 	MemberJoined ID = 6001
 	MemberLeft   ID = 6002
@@ -83,6 +95,9 @@
 	{InstanceDraining, "instance-draining", log.InfoLevel, "A planned stop began; nothing new is taken."},
 	{InstanceStopped, "instance-stopped", log.InfoLevel, "The planned stop is over."},
 	{ServerFailed, "server-failed", log.ErrorLevel, "A listener failed; restart the instance and look at its addresses."},
+	{SettingsReloaded, "settings-reloaded", log.InfoLevel, "Changed settings are in use."},
+	{SettingsRefused, "settings-refused", log.ErrorLevel, "Changed settings can't be used; the old ones stay in force. Correct the file."},
+	{LogDropped, "log-dropped", log.WarnLevel, "Log lines were dropped since the last such line, because more came than are written."},
 
 	{TicketAccepted, "ticket-accepted", log.InfoLevel, "This instance recorded a ticket in the platform."},
 	{TicketRefused, "ticket-refused", log.WarnLevel, "A ticket was refused; the result code says why."},
@@ -90,27 +105,36 @@
 	{TicketDamaged, "ticket-damaged", log.ErrorLevel, "An object in the platform can't be read; what is in force stays in force. Look at the object."},
 	{TicketsCompacted, "tickets-compacted", log.InfoLevel, "This instance recorded a snapshot of the tickets in the platform and deleted old entries."},
 	{CompactionFailed, "compaction-failed", log.WarnLevel, "A snapshot could not be recorded; the next one makes up for it. Look at the platform if it comes again."},
+	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces."},
+	{ConfigurationRefused, "configuration-refused", log.ErrorLevel, "A configuration can't be read and is not used; the result code and the error say why."},
 
 	{PlatformAway, "platform-away", log.WarnLevel, "The platform does not answer; tickets are refused until it does."},
 	{PlatformBack, "platform-back", log.InfoLevel, "The platform answers again."},
 
 	{RequestRefused, "request-refused", log.DebugLevel, "A request was refused; the result code says why."},
 	{RequestRetried, "request-retried", log.DebugLevel, "A request was sent to another endpoint."},
+	{RequestAnswered, "request-answered", log.InfoLevel, "A backend server's answer was passed on."},
+	{TryEnded, "try-ended", log.InfoLevel, "One try of a request ended without an answer to pass on."},
 
 	{StandingGained, "standing-gained", log.InfoLevel, "The instance may act for client accounts."},
 	{StandingLost, "standing-lost", log.WarnLevel, "The instance can't reach a majority of the witnesses, directly or through others; requests with a key are refused here."},
 	{RosterProposed, "roster-proposed", log.InfoLevel, "This instance recorded a new roster of homes and witnesses."},
+	{HomeSilent, "home-silent", log.WarnLevel, "The instance that counts for some client accounts does not answer; for now this instance goes by its own part of their rates."},
 
 	{BackendAnnounced, "backend-announced", log.InfoLevel, "A backend server announced itself."},
 	{BackendDraining, "backend-draining", log.InfoLevel, "A backend server asked for no new work."},
 	{BackendLeft, "backend-left", log.InfoLevel, "A backend server left."},
 	{BackendLapsed, "backend-lapsed", log.WarnLevel, "A backend server stopped renewing its lease; look at the server."},
+	{BackendReported, "backend-reported", log.InfoLevel, "The backend server beside this instance said something new of itself."},
+	{BackendReportIgnored, "backend-report-ignored", log.InfoLevel, "A report of a backend server was late or of an earlier start, and changed nothing."},
+	{BackendReportRefused, "backend-report-refused", log.WarnLevel, "A report of a backend server can't be read; it names no endpoint to use."},
 
 	{EndpointEjected, "endpoint-ejected", log.WarnLevel, "A backend server beside this instance fails and is out of use; the reason and the hold time are in the line. Look at the server."},
 	{EndpointTrials, "endpoint-trials", log.InfoLevel, "The hold time of an ejected backend server is over; it gets a few repeatable requests."},
 	{EndpointReturned, "endpoint-returned", log.InfoLevel, "An ejected backend server answered its trial requests and is in use again."},
 	{LinkOutOfUse, "link-out-of-use", log.WarnLevel, "This instance's link to another one fails; other instances may still reach it. Look at the network between the two."},
 	{LinkBackInUse, "link-back-in-use", log.InfoLevel, "A link that was out of use answers again."},
+	{BackendRests, "backend-rests", log.InfoLevel, "The backend server is out of use after broken exchanges, for the time that is told."},
 
 	{MemberJoined, "member-joined", log.InfoLevel, "Another instance joined."},
 	{MemberLeft, "member-left", log.InfoLevel, "Another instance left as planned."},
--- a/exit/answer.go
+++ b/exit/answer.go
@@ -1,12 +1,12 @@
 package exit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 
-	"amaranthstile/backend"
 	"amaranthstile/link"
 	"amaranthstile/result"
 )
@@ -14,6 +14,9 @@
 // shortAnswer is the size in bytes up to which an answer of known length is passed on in one piece.
 const shortAnswer = 64 << 10
 
+// maxByClose is the size in bytes up to which an answer that ends with its connection is held whole.
+const maxByClose = 4 << 20
+
 // sendError says what a failed exchange with the backend server means.
 func sendError(ctx context.Context, err error, wrote bool) error {
 	run := result.MayHaveRun
@@ -32,22 +35,44 @@
 }
 
 // check refuses an answer that is not the whole answer to this request.
-func check(resp *http.Response, r *http.Request, u *backend.Unit) error {
-	if u.EchoesExchange && resp.Header.Get(link.HeaderExchange) != r.Header.Get(link.HeaderExchange) {
+func check(resp *http.Response, r *http.Request, facts Facts) error {
+	if facts.Crossed {
 		return result.New(result.AnswerCrossed, "the answer belongs to another exchange")
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return result.New(result.AnswerProtocol, "the answer switches protocols, which nobody asked for")
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead && !facts.EndsByClose {
 		return result.New(result.AnswerTruncated, "the answer has neither a length nor chunks, so its end can't be seen")
 	}
 	return nil
 }
 
+// measureByClose reads an answer that ends with its connection whole, so that the entry side sees its length. A connection
+// that is reset ends no answer.
+func measureByClose(resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || link.BodyLength(resp) == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxByClose+1))
+	if err != nil {
+		return result.Wrap(result.AnswerTruncated, err, "the answer broke off")
+	}
+	if len(body) > maxByClose {
+		return result.New(result.AnswerTruncated, "an answer without a length has more than %d bytes", maxByClose)
+	}
+	_ = resp.Body.Close()
+	resp.ContentLength, resp.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // passOn gives the answer to the entry side. A short answer is read whole first, so that one that breaks off is
 // told as what it is; a longer one that breaks off is ended by cut.
 func passOn(w http.ResponseWriter, r *http.Request, resp *http.Response) error {
+	if err := measureByClose(resp); err != nil {
+		link.WriteError(w, result.WithRun(err, result.Ran))
+		return err
+	}
 	length := link.BodyLength(resp)
 	short := length >= 0 && length <= shortAnswer
 	var body []byte
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,8 +28,15 @@
 	// MayRun returns nil while the key with this hash is the account's; it is asked for requests that waited for a
 	// slot, whose key may have been withdrawn meanwhile. Default: nobody is asked.
 	MayRun func(account string, key ticket.KeyHash) error
+	// Dialect is how backend servers are spoken to; default the product's own.
+	Dialect Dialect
+	// Gone is told that another backend server is at the address of this one; default nobody.
+	Gone func(backend string)
 }
 
+// maxRejection is how much of a rejection is read so that its connection can be used again, in bytes.
+const maxRejection = 4 << 10
+
 // askAfter is the wait for a slot after which a request's key is looked up again.
 const askAfter = 100 * time.Millisecond
 
@@ -43,6 +51,12 @@
 	if o.Observer == nil {
 		o.Observer = backend.NoObserver{}
 	}
+	if o.Dialect == nil {
+		o.Dialect = Own{}
+	}
+	if o.Gone == nil {
+		o.Gone = func(string) {}
+	}
 	return &Handler{options: o, guard: newGuard()}
 }
 
@@ -114,10 +128,15 @@
 
 func claim(r *http.Request) backend.Claim {
 	weight, _ := strconv.Atoi(r.Header.Get(link.HeaderWeight))
+	priority, _ := strconv.Atoi(r.Header.Get(link.HeaderPriority))
 	return backend.Claim{
-		Account: r.Header.Get(link.HeaderAccount),
-		Weight:  max(weight, 1),
-		NoWait:  r.Header.Get(link.HeaderNoWait) != "",
+		Account:    r.Header.Get(link.HeaderAccount),
+		Weight:     max(weight, 1),
+		NoWait:     r.Header.Get(link.HeaderNoWait) != "",
+		Priority:   priority,
+		Repeatable: r.Header.Get(link.HeaderRepeatable) != "",
+		Repeat:     r.Header.Get(link.HeaderRepeat) != "",
+		LastResort: r.Header.Get(link.HeaderLastResort) != "",
 	}
 }
 
@@ -132,6 +151,7 @@
 	outcome := backend.OutcomeAborted
 	defer func() { observed.End(time.Now(), outcome) }()
 	out := outgoing(ctx, r, u)
+	h.options.Dialect.Request(out.Header, u)
 	body := watchBody(out, observed)
 	e, wrote, err := link.SendOnce(ctx, u.Transport, out)
 	setLoad(w, u)
@@ -143,7 +163,13 @@
 	resp := e.Response
 	defer func() { _ = resp.Body.Close() }()
 	observed.Head(time.Now())
-	if err := check(resp, r, u); err != nil {
+	facts := h.options.Dialect.Answer(resp, r, u)
+	if facts.NotRun || facts.Gone {
+		outcome = backend.OutcomeShed
+		h.rejected(w, r, e, facts)
+		return
+	}
+	if err := check(resp, r, facts); err != nil {
 		outcome = refused(err)
 		refuse(w, r, result.WithRun(err, result.Ran))
 		return
@@ -159,3 +185,16 @@
 	}
 	outcome = answered(resp.StatusCode)
 }
+
+// rejected tells the entry side that the backend server did not run the request.
+func (h *Handler) rejected(w http.ResponseWriter, r *http.Request, e *link.Exchange, facts Facts) {
+	e.Accept()
+	_, _ = io.CopyN(io.Discard, e.Response.Body, maxRejection)
+	err := result.New(result.BackendShed, "the backend server refused with %d", e.Response.StatusCode)
+	if facts.Gone {
+		id := r.Header.Get(link.HeaderBackend)
+		h.options.Gone(id)
+		err = result.New(result.BackendUnknown, "another backend server is at the address of %q", id)
+	}
+	refuse(w, r, result.WithRun(err, result.NotRun))
+}
--- a/exit/outgoing.go
+++ b/exit/outgoing.go
@@ -40,6 +40,11 @@
 	delete(out.Header, "Authorization")
 	delete(out.Header, "Expect")
 	out.Header.Set(link.HeaderExchange, r.Header.Get(link.HeaderExchange))
+	for _, name := range []string{link.HeaderCallerService} {
+		if v := r.Header.Get(name); v != "" {
+			out.Header.Set(name, v)
+		}
+	}
 	if account := r.Header.Get(link.HeaderAccount); account != "" {
 		out.Header.Set(link.HeaderAccount, account)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,8 +15,8 @@
 	"amaranthstile/event"
 	"amaranthstile/instance"
 	"amaranthstile/internal/trialkeys"
-	"amaranthstile/platform"
-	"amaranthstile/platform/standin"
+	"amaranthstile/store"
+	"amaranthstile/store/standin"
 	"amaranthstile/settings"
 	"amaranthstile/ticket"
 )
@@ -41,7 +41,7 @@
 // Fleet is a running fleet.
 type Fleet struct {
 	options   Options
-	Store     *platform.Memory
+	Store     *store.Memory
 	Platform  *standin.Server
 	Instances []*instance.Instance
 	Backends  []*Backend
@@ -67,7 +67,7 @@
 
 // Start starts the platform's stand-in and the instances.
 func Start(o Options) (*Fleet, error) {
-	f := &Fleet{options: o, Store: platform.NewMemory(), Cuts: newCuts()}
+	f := &Fleet{options: o, Store: store.NewMemory(), Cuts: newCuts()}
 	f.Platform = standin.New(f.Store)
 	l, s, err := listen(f.Platform)
 	if err != nil {
--- a/instance/members.go
+++ b/gossip/gossip.go
@@ -1,4 +1,6 @@
-package instance
+// Package gossip runs the membership of one instance: it owns the state, carries out its actions over UDP and control
+// calls, and publishes the directory of instances and endpoints.
+package gossip
 
 import (
 	"context"
@@ -12,6 +14,7 @@
 	"time"
 
 	"amaranthstile/event"
+	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -25,56 +28,57 @@
 	maxDatagram  = 2048
 )
 
-// methodSync is one half of a synchronization of two views; membership.State describes it.
-const methodSync link.Method = "membership.sync"
+// MethodSync is one half of a synchronization of two views; membership.State describes it.
+const MethodSync link.Method = "membership.sync"
 
-// members owns the membership state, carries out its actions and publishes the directory.
-type members struct {
-	owner   *owner
+// Members owns the membership state, carries out its actions and publishes the directory.
+type Members struct {
+	Owner   *owner.Owner
 	state   *membership.State // touched in the owner only
 	leaving bool              // touched in the owner only
 	view    atomic.Pointer[membership.Directory]
 	conn    net.PacketConn
-	traffic *link.Traffic
-	sealer  atomic.Pointer[membership.Sealer]
+	Traffic *link.Traffic
+	Sealer  atomic.Pointer[membership.Sealer]
 	client  *link.ControlClient
 	event   *event.Logger
 
 	syncing   atomic.Bool
-	synced    chan struct{} // closed once the whole view of another instance was taken over
+	Synced    chan struct{} // closed once the whole view of another instance was taken over
 	syncOnce  sync.Once
 	refusedAt time.Time // touched by the reader only
 	running   sync.WaitGroup
 
-	// onBehind is told of instances with a later ticket revision. It runs in the owner and returns at once.
-	onBehind func(membership.Behind)
+	// OnBehind is told of instances with a later ticket revision. It runs in the owner and returns at once.
+	OnBehind func(membership.Behind)
 }
 
-func newMembers(o *owner, self membership.Record, conn net.PacketConn, client *link.ControlClient, e *event.Logger) *members {
-	m := &members{owner: o, conn: conn, traffic: &link.Traffic{}, synced: make(chan struct{}), client: client, event: e}
-	m.sealer.Store(membership.NewSealer())
+// New returns the members of an instance that knows only itself; Run drives them.
+func New(o *owner.Owner, self membership.Record, conn net.PacketConn, client *link.ControlClient, e *event.Logger) *Members {
+	m := &Members{Owner: o, conn: conn, Traffic: &link.Traffic{}, Synced: make(chan struct{}), client: client, event: e}
+	m.Sealer.Store(membership.NewSealer())
 	m.state = membership.New(membership.Options{
 		Self:   self,
 		Config: membership.DefaultConfig(),
-		Rand:   newRand(),
+		Rand:   NewRand(),
 		Now:    time.Now(),
 	})
 	m.view.Store(m.state.Directory())
 	return m
 }
 
-// newRand returns a generator with a seed that no other process has.
-func newRand() *mathrand.Rand {
+// NewRand returns a generator with a seed that no other process has.
+func NewRand() *mathrand.Rand {
 	var seed [16]byte
 	_, _ = rand.Read(seed[:])
 	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
 
-func (m *members) directory() *membership.Directory { return m.view.Load() }
+func (m *Members) Directory() *membership.Directory { return m.view.Load() }
 
-// all returns the records of the view.
-func (m *members) all() []*membership.Record {
-	d := m.directory()
+// All returns the records of the view.
+func (m *Members) All() []*membership.Record {
+	d := m.Directory()
 	out := make([]*membership.Record, 0, len(d.Records()))
 	for _, r := range d.Records() {
 		out = append(out, r)
@@ -82,43 +86,43 @@
 	return out
 }
 
-// stats returns the counters of the membership.
-func (m *members) stats() (s membership.Stats) {
-	m.owner.do(func() { s = m.state.Stats() })
+// Stats returns the counters of the membership.
+func (m *Members) Stats() (s membership.Stats) {
+	m.Owner.Do(func() { s = m.state.Stats() })
 	return s
 }
 
 // step runs one event of the state in the owner and carries out its actions.
-func (m *members) step(f func(now time.Time) []membership.Action) {
-	m.owner.do(func() { m.carryOut(f(time.Now())) })
+func (m *Members) step(f func(now time.Time) []membership.Action) {
+	m.Owner.Do(func() { m.carryOut(f(time.Now())) })
 }
 
-// setEndpoints tells the endpoints in the own slots.
-func (m *members) setEndpoints(e []membership.Endpoint) {
+// SetEndpoints tells the endpoints in the own slots.
+func (m *Members) SetEndpoints(e []membership.Endpoint) {
 	m.step(func(now time.Time) []membership.Action { return m.state.SetSelf(now, e, m.leaving) })
 }
 
-// drain tells that this instance takes no new work.
-func (m *members) drain() {
+// Drain tells that this instance takes no new work.
+func (m *Members) Drain() {
 	m.step(func(now time.Time) []membership.Action {
 		m.leaving = true
 		return m.state.SetSelf(now, m.state.Self().Endpoints, true)
 	})
 }
 
-// leave tells that this process ends.
-func (m *members) leave() { m.step(m.state.Leave) }
+// Leave tells that this process ends.
+func (m *Members) Leave() { m.step(m.state.Leave) }
 
-// setRevision tells the ticket revision in force here; it does not wait.
-func (m *members) setRevision(r uint64) {
-	m.owner.tell(func() { m.carryOut(m.state.SetRevision(time.Now(), r)) })
+// SetRevision tells the ticket revision in force here; it does not wait.
+func (m *Members) SetRevision(r uint64) {
+	m.Owner.Tell(func() { m.carryOut(m.state.SetRevision(time.Now(), r)) })
 }
 
-// join gives addresses to ask while no other instance is known.
-func (m *members) join(contacts []netip.AddrPort) { m.owner.do(func() { m.state.Join(contacts) }) }
+// Join gives addresses to ask while no other instance is known.
+func (m *Members) Join(contacts []netip.AddrPort) { m.Owner.Do(func() { m.state.Join(contacts) }) }
 
-// run drives the state until ctx ends.
-func (m *members) run(ctx context.Context) {
+// Run drives the state until ctx ends.
+func (m *Members) Run(ctx context.Context) {
 	m.running.Go(m.read)
 	ticker := time.NewTicker(membership.DefaultConfig().TickInterval)
 	defer ticker.Stop()
@@ -135,7 +139,7 @@
 }
 
 // read takes datagrams until the socket is closed.
-func (m *members) read() {
+func (m *Members) read() {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, sender, err := m.conn.ReadFrom(buffer)
@@ -157,15 +161,15 @@
 	}
 }
 
-func (m *members) open(data []byte) (*membership.Message, error) {
-	body, err := m.sealer.Load().Open(data)
+func (m *Members) open(data []byte) (*membership.Message, error) {
+	body, err := m.Sealer.Load().Open(data)
 	if err != nil {
 		return nil, err
 	}
 	return membership.DecodeMessage(body)
 }
 
-func (m *members) noteRefused(from netip.AddrPort, err error) {
+func (m *Members) noteRefused(from netip.AddrPort, err error) {
 	if time.Since(m.refusedAt) < refusedEvery {
 		return
 	}
@@ -174,7 +178,7 @@
 }
 
 // carryOut runs in the owner.
-func (m *members) carryOut(actions []membership.Action) {
+func (m *Members) carryOut(actions []membership.Action) {
 	changed := false
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -185,8 +189,8 @@
 		case membership.Changed:
 			changed = true
 		case membership.Behind:
-			if m.onBehind != nil {
-				m.onBehind(a)
+			if m.OnBehind != nil {
+				m.OnBehind(a)
 			}
 		default:
 			m.note(a)
@@ -197,18 +201,18 @@
 	}
 }
 
-func (m *members) send(a membership.Send) {
+func (m *Members) send(a membership.Send) {
 	data, err := a.Message.Encode()
 	if err != nil {
 		return
 	}
-	data = m.sealer.Load().Seal(data)
+	data = m.Sealer.Load().Seal(data)
 	_, _ = m.conn.WriteTo(data, net.UDPAddrFromAddrPort(a.To))
-	m.traffic.Add(len(data))
+	m.Traffic.Add(len(data))
 }
 
 // note logs what operators want to know of.
-func (m *members) note(a membership.Action) {
+func (m *Members) note(a membership.Action) {
 	switch a := a.(type) {
 	case membership.Joined:
 		m.event.Log(event.MemberJoined, event.F("id", string(a.Record.ID)), event.F("domain", a.Record.Domain), event.F("control", a.Record.Control.String()))
@@ -227,17 +231,17 @@
 	}
 }
 
-// syncWith synchronizes with the instance at an address that may not be a member yet, and waits for the end.
-func (m *members) syncWith(addr netip.AddrPort) {
+// SyncWith synchronizes with the instance at an address that may not be a member yet, and waits for the end.
+func (m *Members) SyncWith(addr netip.AddrPort) {
 	var first *membership.SyncRequest
-	m.owner.do(func() { first = m.state.SyncStart() })
+	m.Owner.Do(func() { first = m.state.SyncStart() })
 	if first != nil {
 		m.sync(addr.String(), first)
 	}
 }
 
 // startSync synchronizes with one instance, unless another synchronization is under way.
-func (m *members) startSync(a membership.SyncWith) {
+func (m *Members) startSync(a membership.SyncWith) {
 	if m.syncing.Swap(true) {
 		return
 	}
@@ -248,7 +252,7 @@
 	})
 }
 
-func (m *members) sync(addr string, first *membership.SyncRequest) {
+func (m *Members) sync(addr string, first *membership.SyncRequest) {
 	answer, err := m.exchange(addr, first)
 	if err != nil {
 		return // the next synchronization is with another instance
@@ -265,10 +269,10 @@
 		}
 		m.step(func(now time.Time) []membership.Action { return m.state.SyncEnd(now, answer) })
 	}
-	m.syncOnce.Do(func() { close(m.synced) })
+	m.syncOnce.Do(func() { close(m.Synced) })
 }
 
-func (m *members) exchange(addr string, r *membership.SyncRequest) (*membership.SyncAnswer, error) {
+func (m *Members) exchange(addr string, r *membership.SyncRequest) (*membership.SyncAnswer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 	defer cancel()
 	data, err := membership.EncodeSync(r)
@@ -276,15 +280,15 @@
 		return nil, err
 	}
 	var reply []byte
-	if err := m.client.Call(ctx, addr, methodSync, data, &reply); err != nil {
+	if err := m.client.Call(ctx, addr, MethodSync, data, &reply); err != nil {
 		return nil, err
 	}
 	answer := &membership.SyncAnswer{}
 	return answer, membership.DecodeSync(reply, answer)
 }
 
-// answerSync answers the synchronization of another instance.
-func (m *members) answerSync(_ context.Context, data []byte) (any, error) {
+// AnswerSync answers the synchronization of another instance.
+func (m *Members) AnswerSync(_ context.Context, data []byte) (any, error) {
 	request := &membership.SyncRequest{}
 	if err := membership.DecodeSync(data, request); err != nil {
 		return nil, err
@@ -300,15 +304,15 @@
 	return membership.EncodeSync(answer)
 }
 
-// listenControl opens TCP and UDP on one address and port; port 0 looks for a number that is free in both.
-func listenControl(network link.Network, addr netip.AddrPort) (net.Listener, net.PacketConn, error) {
+// Listen opens TCP and UDP on one address and port; port 0 looks for a number that is free in both.
+func Listen(network link.Network, addr netip.AddrPort) (net.Listener, net.PacketConn, error) {
 	const tries = 16
 	for range tries {
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			return nil, nil, err
 		}
-		c, err := network.ListenPacket("udp", addrPort(l).String())
+		c, err := network.ListenPacket("udp", l.Addr().(*net.TCPAddr).AddrPort().String())
 		if err == nil {
 			return l, c, nil
 		}
--- a/instance/backends.go
+++ b/instance/backends.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/internal/owner"
+
 	"amaranthstile/backend"
 	"amaranthstile/backend/health"
 	"amaranthstile/event"
@@ -22,7 +24,7 @@
 
 // backends owns the registry of the backend servers in the slots.
 type backends struct {
-	owner    *owner
+	owner    *owner.Owner
 	registry *backend.Registry     // touched in the owner only
 	told     []membership.Endpoint // last told to the membership; touched in the owner only
 	set      atomic.Pointer[backend.Set]
@@ -34,11 +36,11 @@
 // directory is what the backend servers' owner needs of the membership.
 type directory interface {
 	// setEndpoints tells the endpoints in the own slots after every change.
-	setEndpoints([]membership.Endpoint)
-	directory() *membership.Directory
+	SetEndpoints([]membership.Endpoint)
+	Directory() *membership.Directory
 }
 
-func newBackends(o *owner, newID func() string, e *event.Logger, m directory) *backends {
+func newBackends(o *owner.Owner, newID func() string, e *event.Logger, m directory) *backends {
 	b := &backends{owner: o, registry: backend.NewRegistry(newID), event: e, judge: newJudge(), members: m}
 	b.set.Store(&backend.Set{})
 	return b
@@ -56,7 +58,7 @@
 	endpoints := b.judge.endpoints(now, b.registry.Endpoints())
 	if !slices.Equal(endpoints, b.told) {
 		b.told = slices.Clone(endpoints)
-		b.members.setEndpoints(endpoints)
+		b.members.SetEndpoints(endpoints)
 	}
 }
 
@@ -66,7 +68,7 @@
 
 // Announce implements backend.Announcer.
 func (b *backends) Announce(a backend.Announcement) (l backend.Lease, err error) {
-	b.owner.do(func() {
+	b.owner.Do(func() {
 		l, err = b.registry.Announce(time.Now(), a)
 		if err == nil {
 			b.publish()
@@ -78,7 +80,7 @@
 
 // Renew implements backend.Announcer.
 func (b *backends) Renew(lease string, state membership.EndpointState) (l backend.Lease, err error) {
-	b.owner.do(func() {
+	b.owner.Do(func() {
 		l, err = b.registry.Renew(time.Now(), lease, state)
 		if err == nil && state != "" {
 			b.publish()
@@ -89,7 +91,7 @@
 
 // Drain implements backend.Announcer.
 func (b *backends) Drain(lease string) (err error) {
-	b.owner.do(func() {
+	b.owner.Do(func() {
 		err = b.registry.Drain(lease)
 		if err == nil {
 			b.publish()
@@ -101,7 +103,7 @@
 
 // Leave implements backend.Announcer.
 func (b *backends) Leave(lease string) (err error) {
-	b.owner.do(func() {
+	b.owner.Do(func() {
 		err = b.registry.Leave(lease)
 		if err == nil {
 			b.publish()
@@ -114,7 +116,7 @@
 // expire takes out backend servers that stopped renewing, until ctx ends.
 func (b *backends) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		b.owner.do(b.expireOnce)
+		b.owner.Do(b.expireOnce)
 		sleep(ctx, expireEvery)
 	}
 }
@@ -145,13 +147,13 @@
 		case <-b.judge.wake:
 		}
 		now := time.Now()
-		if d := b.members.directory(); d != heard {
+		if d := b.members.Directory(); d != heard {
 			b.judge.setPeers(now, d, self)
 			heard = d
 		}
 		events, reportDue := b.judge.tick(now)
 		if len(events) > 0 || reportDue {
-			b.owner.do(b.publish)
+			b.owner.Do(b.publish)
 		}
 		for _, e := range events {
 			b.logVerdict(e)
--- a/instance/configuration.go
+++ b/instance/configuration.go
@@ -6,15 +6,17 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/internal/owner"
+
 	"amaranthstile/entry"
 	"amaranthstile/event"
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/ticket"
 )
 
 // configuration owns the tickets in force and publishes the view that requests read.
 type configuration struct {
-	owner *owner
+	owner *owner.Owner
 	book  *ticket.Book // touched in the owner only
 	log   *ticket.Log
 	event *event.Logger
@@ -39,7 +41,7 @@
 	due chan struct{}
 }
 
-func newConfiguration(o *owner, client platform.Client, e *event.Logger, a *standings, s *shares) *configuration {
+func newConfiguration(o *owner.Owner, client store.Client, e *event.Logger, a *standings, s *shares) *configuration {
 	c := &configuration{owner: o, book: ticket.NewBook(), log: ticket.NewLog(client, a), event: e, announce: a, shares: s, due: make(chan struct{}, 1)}
 	a.restrict = c.restrict
 	s.view, s.roster = c.view.Load, c.roster.Load
@@ -51,19 +53,19 @@
 
 // Check implements ticket.State.
 func (c *configuration) Check(t *ticket.Ticket) (r ticket.Record, err error) {
-	c.owner.do(func() { r, err = c.book.Check(t) })
+	c.owner.Do(func() { r, err = c.book.Check(t) })
 	return r, err
 }
 
 // Accepted implements ticket.State.
 func (c *configuration) Accepted(number uint64) (r ticket.Record, ok bool) {
-	c.owner.do(func() { r, ok = c.book.Accepted(number) })
+	c.owner.Do(func() { r, ok = c.book.Accepted(number) })
 	return r, ok
 }
 
 // Apply implements ticket.State.
 func (c *configuration) Apply(e ticket.Entry) (ok bool) {
-	c.owner.do(func() {
+	c.owner.Do(func() {
 		before := c.book.Revision()
 		ok = c.book.Apply(e)
 		if c.book.Revision() != before {
@@ -80,13 +82,13 @@
 
 // Copy returns an independent copy of the book.
 func (c *configuration) Copy() (b *ticket.Book) {
-	c.owner.do(func() { b = c.book.Clone() })
+	c.owner.Do(func() { b = c.book.Clone() })
 	return b
 }
 
 // Restore implements ticket.State.
 func (c *configuration) Restore(b *ticket.Book) (ok bool) {
-	c.owner.do(func() {
+	c.owner.Do(func() {
 		before := c.book.Whole()
 		if ok = c.book.Restore(b); ok {
 			whole := c.book.Whole()
@@ -132,7 +134,7 @@
 
 // restrict takes over which changes may have been accepted. It returns when requests read the stricter view.
 func (c *configuration) restrict(pending []ticket.Entry) {
-	c.owner.do(func() {
+	c.owner.Do(func() {
 		c.pending = pending
 		c.show(nil)
 	})
@@ -271,7 +273,7 @@
 
 // ready publishes the empty view where no ticket was ever accepted.
 func (c *configuration) ready() {
-	c.owner.do(func() {
+	c.owner.Do(func() {
 		if c.view.Load() == nil {
 			c.publish(nil)
 		}
--- a/instance/discovery.go
+++ b/instance/discovery.go
@@ -9,9 +9,11 @@
 	"strings"
 	"time"
 
+	"amaranthstile/gossip"
+
 	"amaranthstile/membership"
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 const (
@@ -47,20 +49,20 @@
 // discovery finds other instances through the platform, and through the peers in the settings. A failure domain
 // keeps a few contacts in one object; it is written when one is missing, never by the clock of each instance.
 type discovery struct {
-	client  platform.Client
+	client  store.Client
 	self    contact
 	domain  string
 	peers   []netip.AddrPort
-	members *members
+	members *gossip.Members
 	rand    *mathrand.Rand
 	listed  bool // this instance is in the object, as far as it knows
 	joined  chan struct{}
 }
 
-func newDiscovery(client platform.Client, m *members, self membership.Record, peers []netip.AddrPort) *discovery {
+func newDiscovery(client store.Client, m *gossip.Members, self membership.Record, peers []netip.AddrPort) *discovery {
 	return &discovery{
 		client: client, members: m, domain: self.Domain, peers: peers,
-		self: contact{ID: self.ID, Control: self.Control}, rand: newRand(),
+		self: contact{ID: self.ID, Control: self.Control}, rand: gossip.NewRand(),
 		joined: make(chan struct{}),
 	}
 }
@@ -77,7 +79,7 @@
 
 // run joins and then looks after the contacts until ctx ends.
 func (d *discovery) run(ctx context.Context) {
-	d.members.join(d.peers)
+	d.members.Join(d.peers)
 	d.start(ctx)
 	every := firstSweep
 	for ctx.Err() == nil {
@@ -91,7 +93,7 @@
 	}
 }
 
-func (d *discovery) alone() bool { return len(d.members.directory().Records()) <= 1 }
+func (d *discovery) alone() bool { return len(d.members.Directory().Records()) <= 1 }
 
 // start reads the contacts, joins and adds itself where contacts are missing. The instance has joined once it has
 // the whole view of another one, or there is nobody to ask.
@@ -100,7 +102,7 @@
 		timer := time.NewTimer(joinWait)
 		defer timer.Stop()
 		select {
-		case <-d.members.synced:
+		case <-d.members.Synced:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -133,11 +135,11 @@
 			found = append(found, c.Control)
 		}
 	}
-	d.members.join(found)
+	d.members.Join(found)
 	return len(found) > 0
 }
 
-func (d *discovery) read(ctx context.Context, name string) ([]contact, platform.Version, error) {
+func (d *discovery) read(ctx context.Context, name string) ([]contact, store.Version, error) {
 	o, err := d.client.Get(ctx, name)
 	if result.Is(err, result.PlatformNotFound) {
 		return nil, 0, nil
@@ -155,7 +157,7 @@
 // sweep runs at the one instance of the failure domain that looks after its contacts. It also looks for
 // instances of another failure domain, or at a peer in the settings, that this side does not know.
 func (d *discovery) sweep(ctx context.Context) {
-	if !slices.Contains(d.members.directory().Chosen(d.domain, "contacts", 1), d.self.ID) {
+	if !slices.Contains(d.members.Directory().Chosen(d.domain, "contacts", 1), d.self.ID) {
 		return
 	}
 	d.refresh(ctx, true)
@@ -171,10 +173,10 @@
 		return
 	}
 	seen := make(map[string]bool)
-	for _, r := range d.members.directory().Records() {
+	for _, r := range d.members.Directory().Records() {
 		seen[contactsName(r.Domain)] = true
 	}
-	unseen := slices.DeleteFunc(slices.Clone(objects), func(o platform.Object) bool { return seen[o.Name] })
+	unseen := slices.DeleteFunc(slices.Clone(objects), func(o store.Object) bool { return seen[o.Name] })
 	if len(unseen) == 0 {
 		unseen = objects
 	}
@@ -201,12 +203,12 @@
 		return
 	}
 	c := found[d.rand.IntN(len(found))]
-	for _, r := range d.members.directory().Records() {
+	for _, r := range d.members.Directory().Records() {
 		if r.Control == c {
 			return
 		}
 	}
-	d.members.syncWith(c)
+	d.members.SyncWith(c)
 }
 
 // refresh writes the contacts of the own failure domain if some are missing, or, where the view is complete,
@@ -227,7 +229,7 @@
 }
 
 // write reports whether there is nothing more to do.
-func (d *discovery) write(ctx context.Context, before platform.Version, next []contact) bool {
+func (d *discovery) write(ctx context.Context, before store.Version, next []contact) bool {
 	data, err := json.Marshal(contactList{Contacts: next})
 	if err != nil {
 		return true
@@ -242,13 +244,13 @@
 	for _, c := range held {
 		found = append(found, c.Control)
 	}
-	d.members.join(found)
+	d.members.Join(found)
 }
 
 // nextContacts returns what the object should hold: with a complete view the live ones of those held, filled up
 // by others that are live; without, those held and this instance if there are too few.
 func (d *discovery) nextContacts(held []contact, complete bool) []contact {
-	view := d.members.directory()
+	view := d.members.Directory()
 	var next []contact
 	for _, c := range held {
 		r, ok := view.Record(c.ID)
--- a/instance/early_test.go
+++ b/instance/early_test.go
@@ -3,12 +3,15 @@
 import (
 	"testing"
 
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+
 	"github.com/matryer/is"
 
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/ticket"
 )
 
@@ -16,14 +19,14 @@
 // faster than the start of an instance.
 func TestTicketBeforeTheFirstView(t *testing.T) {
 	is := is.New(t)
-	system := newActorSystem()
+	system := owner.NewSystem()
 	defer system.Shutdown()
 	self := membership.Record{ID: "i", Domain: "norte"}
-	m := &members{owner: newOwner(system)}
+	m := &gossip.Members{Owner: owner.New(system)}
 	calls := link.NewControlClient(link.System{}, nil)
-	st := newStandings(newOwner(system), self, m, calls, event.Discard())
-	sh := newShares(newOwner(system), st, m, calls, self.ID)
-	c := newConfiguration(newOwner(system), platform.NewMemory(), event.Discard(), st, sh)
+	st := newStandings(owner.New(system), self, m, calls, event.Discard())
+	sh := newShares(owner.New(system), st, m, calls, self.ID)
+	c := newConfiguration(owner.New(system), store.NewMemory(), event.Discard(), st, sh)
 	first := &ticket.Ticket{Number: 1, Accounts: map[string]*ticket.Account{"a": {Rate: 1, Burst: 1}}}
 	c.restrict([]ticket.Entry{{Revision: 1, Ticket: first}})
 	is.True(c.Apply(ticket.Entry{Revision: 1, Ticket: first}))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,9 @@
 	"sync"
 	"sync/atomic"
 
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+
 	"github.com/asynkron/protoactor-go/actor"
 
 	"amaranthstile/backend"
@@ -19,9 +22,9 @@
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/once"
-	"amaranthstile/platform"
 	"amaranthstile/result"
 	"amaranthstile/settings"
+	"amaranthstile/store"
 	"amaranthstile/ticket"
 )
 
@@ -31,7 +34,7 @@
 type Options struct {
 	Settings *settings.Settings
 	// Platform is the object API; default the HTTP client for the address in the settings.
-	Platform platform.Client
+	Platform store.Client
 	Events   *event.Logger
 	// Network reaches other instances; default the system's.
 	Network link.Network
@@ -46,7 +49,7 @@
 
 	configuration *configuration
 	backends      *backends
-	members       *members
+	members       *gossip.Members
 	discovery     *discovery
 	spread        *spread
 	standing      *standings
@@ -73,7 +76,7 @@
 // Start opens the sockets and starts the instance. It is ready when Ready is closed.
 func Start(o Options) (*Instance, error) {
 	if o.Platform == nil {
-		o.Platform = platform.NewHTTP(platform.HTTPOptions{Base: o.Settings.Platform})
+		o.Platform = store.NewHTTP(store.HTTPOptions{Base: o.Settings.Platform})
 	}
 	if o.Events == nil {
 		o.Events = event.Discard()
@@ -102,7 +105,7 @@
 
 func (i *Instance) build() {
 	s := i.options.Settings
-	i.system = newActorSystem()
+	i.system = owner.NewSystem()
 	i.control = link.NewControlServer()
 	i.control.LogTo(i.options.Events)
 	i.calls = link.NewControlClient(i.options.Network, i.clientTLS())
@@ -116,11 +119,11 @@
 		Link:    addrPort(i.listeners.link),
 		Control: addrPort(i.listeners.control),
 	}
-	i.members = newMembers(newOwner(i.system), self, i.listeners.membership, i.calls, i.options.Events)
-	i.members.traffic = &i.traffic
+	i.members = gossip.New(owner.New(i.system), self, i.listeners.membership, i.calls, i.options.Events)
+	i.members.Traffic = &i.traffic
 	i.useSecrets()
 	i.buildConfiguration(self)
-	i.backends = newBackends(newOwner(i.system), randomID, i.options.Events, i.members)
+	i.backends = newBackends(owner.New(i.system), randomID, i.options.Events, i.members)
 	i.selector = i.newSelector()
 	i.once = i.newOnce()
 	i.register()
@@ -131,9 +134,9 @@
 // buildConfiguration makes what is agreed with the other instances: standing, shares, tickets and their spread.
 func (i *Instance) buildConfiguration(self membership.Record) {
 	s := i.options.Settings
-	i.standing = newStandings(newOwner(i.system), self, i.members, i.calls, i.options.Events)
-	i.shares = newShares(newOwner(i.system), i.standing, i.members, i.calls, i.id)
-	i.configuration = newConfiguration(newOwner(i.system), i.options.Platform, i.options.Events, i.standing, i.shares)
+	i.standing = newStandings(owner.New(i.system), self, i.members, i.calls, i.options.Events)
+	i.shares = newShares(owner.New(i.system), i.standing, i.members, i.calls, i.id)
+	i.configuration = newConfiguration(owner.New(i.system), i.options.Platform, i.options.Events, i.standing, i.shares)
 	i.rosters = &rosters{configuration: i.configuration, standing: i.standing, members: i.members, event: i.options.Events}
 	i.discovery = newDiscovery(i.options.Platform, i.members, self, peersOf(s))
 	i.spread = newSpread(i.configuration, i.members, i.calls, i.options.Events, self)
@@ -143,7 +146,7 @@
 
 // register adds the calls that this instance answers to others.
 func (i *Instance) register() {
-	link.Register(i.control, methodSync, i.members.answerSync)
+	link.Register(i.control, gossip.MethodSync, i.members.AnswerSync)
 	link.Register(i.control, methodEntries, i.spread.answerEntries)
 	link.Register(i.control, methodManifest, i.spread.transfer.answerManifest)
 	link.Register(i.control, methodChunk, i.spread.transfer.answerChunk)
@@ -165,7 +168,7 @@
 	i.serve(i.listeners.slot, backend.NewAPI(i.backends))
 	i.serve(i.listeners.admin, i.adminHandler())
 	i.running.Go(func() { _ = i.control.Serve(i.secured(i.listeners.control)) })
-	i.running.Go(func() { i.members.run(ctx) })
+	i.running.Go(func() { i.members.Run(ctx) })
 	i.running.Go(func() { i.discovery.run(ctx) })
 	i.running.Go(func() { i.spread.run(ctx) })
 	i.running.Go(func() { i.standing.run(ctx) })
@@ -205,7 +208,7 @@
 func (i *Instance) newEntry() *entry.Handler {
 	return entry.New(entry.Options{
 		View:        i.readyView,
-		Directory:   i.members.directory,
+		Directory:   i.members.Directory,
 		Admitter:    i.shares.admitter,
 		Selector:    i.selector,
 		Forwarder:   i.forwarder,
--- a/instance/keys.go
+++ b/instance/keys.go
@@ -1,14 +1,12 @@
 package instance
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"net"
 	"net/netip"
 	"time"
 
-	"github.com/phuslu/log"
 
 	"amaranthstile/event"
 	"amaranthstile/link"
@@ -48,7 +46,7 @@
 // useSecrets makes the membership use the secrets of the present keys.
 func (i *Instance) useSecrets() {
 	if i.keys != nil {
-		i.members.sealer.Store(membership.NewSealer(i.keys.Secrets()...))
+		i.members.Sealer.Store(membership.NewSealer(i.keys.Secrets()...))
 	}
 }
 
@@ -84,20 +82,3 @@
 	}
 	return out
 }
-
-// refusedHandshakes turns the notes of an HTTP server on refused connections into events; its other notes are
-// on callers' broken requests and are dropped.
-type refusedHandshakes struct{ event *event.Logger }
-
-// Write implements io.Writer.
-func (r refusedHandshakes) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte("TLS handshake error")) {
-		r.event.Log(event.LinkRefused, event.F("error", string(bytes.TrimSpace(line))))
-	}
-	return len(line), nil
-}
-
-// newServerLog returns the logger that an HTTP server takes.
-func newServerLog(e *event.Logger) *log.Logger {
-	return &log.Logger{Writer: log.IOWriter{Writer: refusedHandshakes{e}}}
-}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -54,9 +54,9 @@
 		gauge("revision", "Last revision in force here.", func() float64 { return float64(i.configuration.revision.Load()) }),
 		gauge("platform_away", "1 while the last call to the platform failed.", func() float64 { return oneIf(i.configuration.away.Load()) }),
 		gauge("ready", "1 while requests are taken.", func() float64 { return oneIf(i.Serving()) }),
-		gauge("instances", "Instances in the membership, this one included.", func() float64 { return float64(len(i.members.directory().Records())) }),
-		gauge("endpoints_ejected", "Endpoints in this instance's view that are out of use.", func() float64 { return float64(countState(i.members.directory(), membership.Ejected)) }),
-		gauge("endpoints_draining", "Endpoints in this instance's view that drain.", func() float64 { return float64(countState(i.members.directory(), membership.Draining)) }),
+		gauge("instances", "Instances in the membership, this one included.", func() float64 { return float64(len(i.members.Directory().Records())) }),
+		gauge("endpoints_ejected", "Endpoints in this instance's view that are out of use.", func() float64 { return float64(countState(i.members.Directory(), membership.Ejected)) }),
+		gauge("endpoints_draining", "Endpoints in this instance's view that drain.", func() float64 { return float64(countState(i.members.Directory(), membership.Draining)) }),
 	}
 }
 
--- a/instance/once.go
+++ b/instance/once.go
@@ -27,7 +27,7 @@
 }
 
 func (i *Instance) controlAddress(id string) (string, bool) {
-	r, ok := i.members.directory().Record(membership.ID(id))
+	r, ok := i.members.Directory().Record(membership.ID(id))
 	if !ok {
 		return "", false
 	}
@@ -41,7 +41,7 @@
 		rank uint64
 	}
 	var all []ranked
-	for id, r := range i.members.directory().Records() {
+	for id, r := range i.members.Directory().Records() {
 		if !r.Leaving && string(id) != home {
 			all = append(all, ranked{string(id), xxhash.Sum64String(home + "\x00" + string(id))})
 		}
@@ -72,7 +72,7 @@
 }
 
 func (i *Instance) shuffledMembers() []*membership.Record {
-	all := i.members.all()
+	all := i.members.All()
 	rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
 	return all
 }
--- a/instance/once_test.go
+++ b/instance/once_test.go
@@ -18,8 +18,8 @@
 	"amaranthstile/fleet"
 	"amaranthstile/link"
 	"amaranthstile/once"
-	"amaranthstile/platform/standin"
 	"amaranthstile/result"
+	"amaranthstile/store/standin"
 	"amaranthstile/ticket"
 )
 
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"amaranthstile/gossip"
+
 	"amaranthstile/event"
 	"amaranthstile/standing"
 	"amaranthstile/ticket"
@@ -26,7 +28,7 @@
 type rosters struct {
 	configuration *configuration
 	standing      *standings
-	members       *members
+	members       *gossip.Members
 	event         *event.Logger
 	wanted        *ticket.Roster
 	since         time.Time
@@ -105,7 +107,7 @@
 // live returns the instances in the membership.
 func (r *rosters) live() []standing.Candidate {
 	var out []standing.Candidate
-	for id, record := range r.members.directory().Records() {
+	for id, record := range r.members.Directory().Records() {
 		out = append(out, standing.Candidate{
 			RosterMember: ticket.RosterMember{ID: string(id), Domain: record.Domain, Control: record.Control},
 			Leaving:      record.Leaving,
--- a/instance/shares.go
+++ b/instance/shares.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+
 	"amaranthstile/contract"
 	"amaranthstile/entry"
 	"amaranthstile/link"
@@ -26,12 +29,12 @@
 // shares owns the parts of client accounts that this instance hands out as a home, and admits the requests that
 // come here from leases of other homes.
 type shares struct {
-	owner       *owner
+	owner       *owner.Owner
 	home        *contract.Home        // touched in the owner only
 	entitlement *contract.Entitlement // touched in the owner only
 	admitter    *contract.Shares
 	standing    *standings
-	members     *members
+	members     *gossip.Members
 	client      *link.ControlClient
 	self        membership.ID
 	base        *entry.View    // what is in force; touched in the owner only
@@ -43,7 +46,7 @@
 	addresses map[string]string // of homes, on rosters known so far
 }
 
-func newShares(o *owner, st *standings, m *members, client *link.ControlClient, self membership.ID) *shares {
+func newShares(o *owner.Owner, st *standings, m *gossip.Members, client *link.ControlClient, self membership.ID) *shares {
 	terms := contract.DefaultTerms()
 	s := &shares{
 		owner:     o,
@@ -120,7 +123,7 @@
 		}
 	}
 	s.place(append(rosters, roster))
-	s.owner.do(func() {
+	s.owner.Do(func() {
 		now := standing.Now()
 		s.entitlement.SetRoster(now, roster, rosters)
 		last := s.base
@@ -173,7 +176,7 @@
 // exchange lets the home decide, if it may act.
 func (s *shares) exchange(r contract.Request) (reply contract.Reply, err error) {
 	err = result.New(result.ShuttingDown, "the instance stops")
-	s.owner.do(func() {
+	s.owner.Do(func() {
 		now := standing.Now()
 		if !s.standing.holds(now) {
 			err = result.New(result.NoStanding, "the home has no standing")
@@ -203,7 +206,7 @@
 		go s.admitter.Nudge(n)
 		return
 	}
-	r, ok := s.members.directory().Record(membership.ID(holder))
+	r, ok := s.members.Directory().Record(membership.ID(holder))
 	if !ok {
 		return
 	}
@@ -228,6 +231,6 @@
 
 func (s *shares) state() (out SharesState) {
 	out.Holder = s.admitter.Stats()
-	s.owner.do(func() { out.Home = s.home.Stats() })
+	s.owner.Do(func() { out.Home = s.home.Stats() })
 	return out
 }
--- a/instance/sockets.go
+++ b/instance/sockets.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"amaranthstile/gossip"
+
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/settings"
@@ -41,7 +43,7 @@
 		}
 		*x.to = opened
 	}
-	control, datagrams, err := listenControl(i.options.Network, l.Control.AddrPort)
+	control, datagrams, err := gossip.Listen(i.options.Network, l.Control.AddrPort)
 	if err != nil {
 		i.listeners.close()
 		return err
@@ -68,7 +70,7 @@
 }
 
 func (i *Instance) serveOn(s *http.Server, l net.Listener) {
-	s.ErrorLog = newServerLog(i.options.Events).Std("", 0)
+	s.ErrorLog = event.ServerLog(i.options.Events).Std("", 0)
 	i.servers = append(i.servers, s)
 	i.running.Go(func() {
 		err := s.Serve(l)
--- a/instance/spread.go
+++ b/instance/spread.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/gossip"
+
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
@@ -66,7 +68,7 @@
 // revision; the entries are fetched once, in order, by a call to such an instance.
 type spread struct {
 	book    book
-	members *members
+	members *gossip.Members
 	client  *link.ControlClient
 	event   *event.Logger
 	domain  string
@@ -92,13 +94,13 @@
 	Served        uint64 `json:"served"`
 }
 
-func newSpread(b book, m *members, client *link.ControlClient, e *event.Logger, self membership.Record) *spread {
+func newSpread(b book, m *gossip.Members, client *link.ControlClient, e *event.Logger, self membership.Record) *spread {
 	s := &spread{
 		book: b, members: m, client: client, event: e, domain: self.Domain, self: self.ID,
 		behind: make(chan membership.Behind, 1),
 	}
 	s.transfer = newTransfer(b, client, s.loaded.Load)
-	m.onBehind = s.noteBehind
+	m.OnBehind = s.noteBehind
 	return s
 }
 
@@ -153,7 +155,7 @@
 	s.revision = revision
 	s.mu.Unlock()
 	if s.loaded.Load() {
-		s.members.setRevision(uint64(revision))
+		s.members.SetRevision(uint64(revision))
 	}
 }
 
@@ -252,7 +254,7 @@
 // load brings a starting instance to the revision of its peers while the platform is away. It asks a few and
 // needs one whose state is whole.
 func (s *spread) load(ctx context.Context) bool {
-	records := s.members.all()
+	records := s.members.All()
 	mathrand.Shuffle(len(records), func(a, b int) { records[a], records[b] = records[b], records[a] })
 	asked := 0
 	for _, r := range records {
@@ -271,13 +273,13 @@
 // setLoaded says that the state is whole.
 func (s *spread) setLoaded() {
 	if !s.loaded.Swap(true) {
-		s.members.setRevision(uint64(s.book.Revision()))
+		s.members.SetRevision(uint64(s.book.Revision()))
 	}
 }
 
 // watches reports whether this instance is one of its failure domain's watchers.
 func (s *spread) watches() bool {
-	return slices.Contains(s.members.directory().Chosen(s.domain, "watch", watchersPerDomain), s.self)
+	return slices.Contains(s.members.Directory().Chosen(s.domain, "watch", watchersPerDomain), s.self)
 }
 
 // waitForDuty returns once this instance is to watch the platform, or ctx ends.
--- a/instance/spread_test.go
+++ b/instance/spread_test.go
@@ -14,8 +14,8 @@
 	backendstandin "amaranthstile/backend/standin"
 	"amaranthstile/fleet"
 	"amaranthstile/link"
-	"amaranthstile/platform"
-	"amaranthstile/platform/standin"
+	"amaranthstile/store"
+	"amaranthstile/store/standin"
 	"amaranthstile/ticket"
 )
 
@@ -64,11 +64,11 @@
 		before := f.Store.Calls()
 		submitAll(ctx, t, f, 2, 1+tickets)
 		after := f.Store.Calls()
-		watches := int(after[platform.CallWatch] - before[platform.CallWatch])
+		watches := int(after[store.CallWatch] - before[store.CallWatch])
 		if limit := (tickets + 1) * watchers; watches > limit {
 			t.Errorf("%d instances made %d watches for %d tickets, more than %d", size, watches, tickets, limit)
 		}
-		if puts := int(after[platform.CallPut] - before[platform.CallPut]); puts > 2*tickets+watchers {
+		if puts := int(after[store.CallPut] - before[store.CallPut]); puts > 2*tickets+watchers {
 			t.Errorf("%d instances made %d writes for %d tickets", size, puts, tickets)
 		}
 		f.Close()
--- a/instance/standing.go
+++ b/instance/standing.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
@@ -46,11 +49,11 @@
 
 // standings owns the standing of the instance and makes its calls. The request path reads until.
 type standings struct {
-	owner   *owner
+	owner   *owner.Owner
 	machine *standing.Machine // touched in the owner only
 	terms   standing.Terms
 	self    membership.Record
-	members *members
+	members *gossip.Members
 	client  *link.ControlClient
 	event   *event.Logger
 	// restrict publishes the view under the pending changes and returns when requests read it.
@@ -64,7 +67,7 @@
 	changed chan struct{}
 }
 
-func newStandings(o *owner, self membership.Record, m *members, client *link.ControlClient, e *event.Logger) *standings {
+func newStandings(o *owner.Owner, self membership.Record, m *gossip.Members, client *link.ControlClient, e *event.Logger) *standings {
 	terms := standing.DefaultTerms()
 	s := &standings{
 		owner:   o,
@@ -119,7 +122,7 @@
 
 // step changes the machine and publishes what follows: the restricted view always before the credit that needs it.
 func (s *standings) step(f func(m *standing.Machine) (learned bool)) {
-	s.owner.do(func() { s.stepOwned(f) })
+	s.owner.Do(func() { s.stepOwned(f) })
 }
 
 // stepOwned runs in the owner.
@@ -152,7 +155,7 @@
 
 // applied tells that a revision is in force here; requests read it already. It does not wait.
 func (s *standings) applied(r ticket.Revision, roster *ticket.Roster) {
-	s.owner.tell(func() {
+	s.owner.Tell(func() {
 		s.stepOwned(func(m *standing.Machine) bool {
 			m.Apply(r, roster)
 			return false
@@ -166,7 +169,7 @@
 		return nil, result.New(result.WitnessGone, "%s does not run here any more", c.Witness)
 	}
 	var k standing.Knowledge
-	s.owner.do(func() { k = s.machine.Knowledge() })
+	s.owner.Do(func() { k = s.machine.Knowledge() })
 	return k, nil
 }
 
@@ -186,7 +189,7 @@
 func (s *standings) answerCredit(_ context.Context, _ struct{}) (any, error) {
 	var c standing.Credit
 	var ok bool
-	s.owner.do(func() { c, ok = s.machine.Lend(standing.Now()) })
+	s.owner.Do(func() { c, ok = s.machine.Lend(standing.Now()) })
 	if !ok {
 		return nil, result.New(result.NoStanding, "no credit here")
 	}
@@ -216,7 +219,7 @@
 func (s *standings) renew(ctx context.Context) bool {
 	var witness bool
 	var roster []ticket.RosterMember
-	s.owner.do(func() {
+	s.owner.Do(func() {
 		witness = s.machine.IsWitness()
 		roster = s.machine.Witnesses()
 	})
@@ -258,7 +261,7 @@
 // borrow asks the sources for a credit until one gives it.
 func (s *standings) borrow(ctx context.Context, witnesses []ticket.RosterMember) bool {
 	var domain, ids []string
-	records := s.members.directory().Records()
+	records := s.members.Directory().Records()
 	for id, r := range records {
 		if r.Domain == s.self.Domain {
 			domain = append(domain, string(id))
@@ -299,7 +302,7 @@
 // catchUp brings what a claim needs from the instance that knows it.
 func (s *standings) catchUp(ctx context.Context, r *membership.Record) {
 	var needs ticket.Revision
-	s.owner.do(func() { needs = s.machine.Needs() })
+	s.owner.Do(func() { needs = s.machine.Needs() })
 	if needs > 0 {
 		s.fetch(ctx, r)
 	}
@@ -325,7 +328,7 @@
 }
 
 func (s *standings) state(roster *ticket.Roster) (out StandingState) {
-	s.owner.do(func() {
+	s.owner.Do(func() {
 		out.Witness = s.machine.IsWitness()
 		out.Counts = s.machine.Stats()
 		for _, e := range s.machine.Pending() {
--- a/instance/standing_test.go
+++ b/instance/standing_test.go
@@ -13,9 +13,9 @@
 	backendstandin "amaranthstile/backend/standin"
 	"amaranthstile/fleet"
 	"amaranthstile/instance"
-	"amaranthstile/platform/standin"
 	"amaranthstile/result"
 	"amaranthstile/standing"
+	"amaranthstile/store/standin"
 	"amaranthstile/ticket"
 )
 
--- a/instance/stats_metrics.go
+++ b/instance/stats_metrics.go
@@ -16,7 +16,7 @@
 
 func newStatsCollector(i *Instance) statsCollector {
 	return statsCollector{parts: map[string]func() any{
-		"membership": func() any { return i.members.stats() },
+		"membership": func() any { return i.members.Stats() },
 		"links":      func() any { return i.control.Stats() },
 		"control":    func() any { return i.traffic.Read() },
 		"spread":     func() any { return i.spread.Stats() },
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	i.options.Events.Log(event.InstanceDraining)
-	i.members.drain()
+	i.members.Drain()
 	sleep(ctx, leaveNotice)
 	var err error
 	for _, s := range i.servers {
@@ -44,7 +44,7 @@
 	}
 	i.once.HandOver(ctx)
 	i.discovery.stop(ctx)
-	i.members.leave()
+	i.members.Leave()
 	sleep(ctx, lastNotice)
 	i.close()
 	i.options.Events.Log(event.InstanceStopped)
@@ -69,10 +69,10 @@
 	i.calls.Close()
 	i.running.Wait()
 	i.forwarder.Close()
-	i.standing.owner.stop()
-	i.configuration.owner.stop()
-	i.shares.owner.stop()
-	i.backends.owner.stop()
-	i.members.owner.stop()
+	i.standing.owner.Stop()
+	i.configuration.owner.Stop()
+	i.shares.owner.Stop()
+	i.backends.owner.Stop()
+	i.members.Owner.Stop()
 	i.system.Shutdown()
 }
--- a/instance/transfer_test.go
+++ b/instance/transfer_test.go
@@ -5,13 +5,16 @@
 	"net/netip"
 	"testing"
 
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+
 	"github.com/matryer/is"
 
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	"amaranthstile/store"
 	"amaranthstile/ticket"
 )
 
@@ -24,15 +27,15 @@
 
 func newNode(t *testing.T, revisions int) *node {
 	t.Helper()
-	system := newActorSystem()
-	l, packets, err := listenControl(link.System{}, netip.MustParseAddrPort("127.0.0.1:0"))
+	system := owner.NewSystem()
+	l, packets, err := gossip.Listen(link.System{}, netip.MustParseAddrPort("127.0.0.1:0"))
 	is.New(t).NoErr(err)
 	calls, server := link.NewControlClient(link.System{}, nil), link.NewControlServer()
 	self := membership.Record{ID: membership.ID(randomID()), Domain: "norte", Control: addrPort(l)}
-	m := newMembers(newOwner(system), self, packets, calls, event.Discard())
-	st := newStandings(newOwner(system), self, m, calls, event.Discard())
-	sh := newShares(newOwner(system), st, m, calls, self.ID)
-	c := newConfiguration(newOwner(system), platform.NewMemory(), event.Discard(), st, sh)
+	m := gossip.New(owner.New(system), self, packets, calls, event.Discard())
+	st := newStandings(owner.New(system), self, m, calls, event.Discard())
+	sh := newShares(owner.New(system), st, m, calls, self.ID)
+	c := newConfiguration(owner.New(system), store.NewMemory(), event.Discard(), st, sh)
 	n := &node{spread: newSpread(c, m, calls, event.Discard(), self), configuration: c, addr: self.Control}
 	c.spread = n.spread
 	link.Register(server, methodEntries, n.answerEntries)
@@ -44,10 +47,10 @@
 		_ = l.Close()
 		_ = packets.Close()
 		server.Close()
-		c.owner.stop()
-		st.owner.stop()
-		sh.owner.stop()
-		m.owner.stop()
+		c.owner.Stop()
+		st.owner.Stop()
+		sh.owner.Stop()
+		m.Owner.Stop()
 		system.Shutdown()
 	})
 	for r := 1; r <= revisions; r++ {
--- a/instance/actor.go
+++ b/internal/owner/owner.go
@@ -1,4 +1,5 @@
-package instance
+// Package owner runs functions one at a time in an actor, each on state that the actor alone touches.
+package owner
 
 import (
 	"io"
@@ -7,8 +8,8 @@
 	"github.com/phuslu/log"
 )
 
-// owner runs functions one at a time in an actor, each on the state that the actor owns.
-type owner struct {
+// Owner runs functions one at a time in an actor, each on the state that the actor owns.
+type Owner struct {
 	system  *actor.ActorSystem
 	pid     *actor.PID
 	stopped chan struct{}
@@ -20,13 +21,14 @@
 	done chan struct{}
 }
 
-func newOwner(system *actor.ActorSystem) *owner {
-	o := &owner{system: system, stopped: make(chan struct{})}
+// New returns an owner in a system made by NewSystem.
+func New(system *actor.ActorSystem) *Owner {
+	o := &Owner{system: system, stopped: make(chan struct{})}
 	o.pid = system.Root.Spawn(actor.PropsFromFunc(o.receive))
 	return o
 }
 
-func (o *owner) receive(c actor.Context) {
+func (o *Owner) receive(c actor.Context) {
 	switch m := c.Message().(type) {
 	case task:
 		defer close(m.done) // a task that panics must not leave its caller waiting
@@ -36,8 +38,8 @@
 	}
 }
 
-// do runs f in the actor and waits for its end. After stop it does nothing.
-func (o *owner) do(f func()) {
+// Do runs f in the actor and waits for its end. After Stop it does nothing.
+func (o *Owner) Do(f func()) {
 	t := task{run: f, done: make(chan struct{})}
 	o.system.Root.Send(o.pid, t)
 	select {
@@ -46,17 +48,17 @@
 	}
 }
 
-// tell runs f in the actor and does not wait for it.
-func (o *owner) tell(f func()) { o.system.Root.Send(o.pid, task{run: f, done: make(chan struct{})}) }
+// Tell runs f in the actor and does not wait for it.
+func (o *Owner) Tell(f func()) { o.system.Root.Send(o.pid, task{run: f, done: make(chan struct{})}) }
 
-// stop ends the actor after the tasks that were sent before.
-func (o *owner) stop() {
+// Stop ends the actor after the tasks that were sent before.
+func (o *Owner) Stop() {
 	o.system.Root.Poison(o.pid)
 	<-o.stopped
 }
 
-// newActorSystem returns an actor system whose own log goes nowhere: what matters is logged as numbered events.
-func newActorSystem() *actor.ActorSystem {
+// NewSystem returns an actor system whose own log goes nowhere: what matters is logged as numbered events.
+func NewSystem() *actor.ActorSystem {
 	quiet := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 	return actor.NewActorSystem(actor.WithLoggerFactory(always[*actor.ActorSystem](quiet.Slog())))
 }
--- a/link/answer.go
+++ b/link/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"amaranthstile/result"
 )
@@ -31,6 +32,9 @@
 	h.Set(HeaderResult, code.String())
 	h.Set(HeaderRun, string(body.Run))
 	h.Set(HeaderOrigin, OriginFleet)
+	if after := result.RetryAfterOf(err); after > 0 {
+		h.Set(HeaderRetryAfter, strconv.FormatInt(after.Milliseconds()+1, 10))
+	}
 	w.WriteHeader(code.HTTPStatus())
 	_ = json.NewEncoder(w).Encode(body)
 }
@@ -47,5 +51,9 @@
 	if run != result.NotRun && run != result.Ran {
 		run = result.MayHaveRun
 	}
-	return result.WithRun(result.New(code, "%s", code.Entry().Text), run)
+	err = result.WithRun(result.New(code, "%s", code.Entry().Text), run)
+	if ms, bad := strconv.ParseInt(h.Get(HeaderRetryAfter), 10, 32); bad == nil && ms > 0 {
+		err = result.WithRetryAfter(err, time.Duration(ms)*time.Millisecond)
+	}
+	return err
 }
--- a/link/header.go
+++ b/link/header.go
@@ -42,6 +42,15 @@
 
 	// HeaderOrigin says who made an answer on the link: OriginFleet or OriginBackend.
 	HeaderOrigin = "Amaranth-Origin"
+	// HeaderPriority, HeaderRepeat, HeaderLastResort and HeaderCallerService go from the entry side to the exit side: the
+	// rank of a waiting request, whether an earlier try has reached a backend server, whether no other endpoint takes
+	// the request, and the service beside which the request began.
+	HeaderPriority      = "Amaranth-Priority"
+	HeaderRepeat        = "Amaranth-Repeat"
+	HeaderLastResort    = "Amaranth-Last-Resort"
+	HeaderCallerService = "Amaranth-Caller-Service"
+	// HeaderRetryAfter is on refusals: the milliseconds after which trying again may help.
+	HeaderRetryAfter = "Amaranth-Retry-After-Ms"
 )
 
 // The values of HeaderOrigin.
@@ -68,15 +77,15 @@
 func CopyEndToEnd(to, from http.Header) {
 	named := connectionNamed(from)
 	for name, values := range from {
-		if named[name] || own(name) || hopByHop[name] {
+		if named[name] || Own(name) || hopByHop[name] {
 			continue
 		}
 		to[name] = values
 	}
 }
 
-// own tells whether a header is one of the system's own. Some servers take "_" in names for "-".
-func own(name string) bool {
+// Own tells whether a header is one of the system's own. Some servers take "_" in names for "-".
+func Own(name string) bool {
 	if len(name) < len(HeaderPrefix) {
 		return false
 	}
@@ -96,7 +105,7 @@
 	}
 }
 
-func passesInTrailer(name string) bool { return !own(name) && !hopByHop[name] }
+func passesInTrailer(name string) bool { return !Own(name) && !hopByHop[name] }
 
 // hasBody tells whether an answer has a body, so that its Content-Length speaks of this answer.
 func hasBody(resp *http.Response) bool {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -208,3 +209,20 @@
 	}
 	return out
 }
+
+// Ranked returns the instance that rendezvous hashing puts first for a shard: every instance with the same view chooses the
+// same one. Leaving ones come last.
+func (d *Directory) Ranked(shard uint64) ID {
+	var best ID
+	var bestRank uint64
+	for id, r := range d.records {
+		if r.Leaving {
+			continue
+		}
+		rank := xxhash.Sum64String(string(id)+"\x00"+strconv.FormatUint(shard, 10)) | 1
+		if rank > bestRank || rank == bestRank && id < best {
+			best, bestRank = id, rank
+		}
+	}
+	return best
+}
--- a/once/plain.go
+++ b/once/plain.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/result"
 )
 
@@ -58,11 +58,11 @@
 // created and never replaced by another try, so no two tries ever know that. A claim whose try was lost stays, and
 // later tries are told that the request may have run.
 type plainTry struct {
-	client  platform.Client
+	client  store.Client
 	request Request
 	name    string
 	claim   plainClaim
-	at      platform.Version
+	at      store.Version
 }
 
 // begin claims the key, or finds out what another try did with it.
--- a/once/plain_test.go
+++ b/once/plain_test.go
@@ -11,18 +11,18 @@
 
 	_ "amaranthstile/internal/fixedseed"
 
-	"amaranthstile/platform"
+	objects "amaranthstile/store"
 	"amaranthstile/result"
 )
 
 // lossy is a platform whose answers get lost and whose writes may take effect later, as drawn.
 type lossy struct {
-	*platform.Memory
+	*objects.Memory
 	draw func(label string, most int) int
 	late []func()
 }
 
-func (l *lossy) Put(ctx context.Context, name string, before platform.Version, value []byte) (platform.Version, error) {
+func (l *lossy) Put(ctx context.Context, name string, before objects.Version, value []byte) (objects.Version, error) {
 	unknown := result.New(result.PlatformOutcomeUnknown, "lost")
 	switch l.draw("put", 5) {
 	case 0: // takes effect, the answer is lost
@@ -37,9 +37,9 @@
 	return l.Memory.Put(ctx, name, before, value)
 }
 
-func (l *lossy) Get(ctx context.Context, name string) (platform.Object, error) {
+func (l *lossy) Get(ctx context.Context, name string) (objects.Object, error) {
 	if l.draw("get", 5) == 0 {
-		return platform.Object{}, result.New(result.PlatformUnavailable, "away")
+		return objects.Object{}, result.New(result.PlatformUnavailable, "away")
 	}
 	return l.Memory.Get(ctx, name)
 }
@@ -57,7 +57,7 @@
 func TestPlainKeysRunOnceWhateverIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
-		l := &lossy{Memory: platform.NewMemory(), draw: func(label string, most int) int { return rapid.IntRange(0, most).Draw(t, label) }}
+		l := &lossy{Memory: objects.NewMemory(), draw: func(label string, most int) int { return rapid.IntRange(0, most).Draw(t, label) }}
 		r := Request{Account: "a", Key: "k", Digest: "d", Deadline: time.Now().Add(time.Hour)}
 		runs := 0
 		for n := range 4 {
@@ -130,7 +130,7 @@
 func TestSweeperKeepsKeysForADay(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	r := Request{Account: "a", Key: "k", Digest: "d"}
 	_, err := store.Put(ctx, plainName(r), 0, encodeClaim(plainClaim{Try: "t", Digest: "d", State: plainRan}))
 	is.NoErr(err)
--- a/once/plainservice.go
+++ b/once/plainservice.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/result"
 )
 
@@ -18,14 +18,14 @@
 
 // plainKeys claims plain keys for the tries of one instance.
 type plainKeys struct {
-	client platform.Client
+	client store.Client
 
 	mu      sync.Mutex
 	sweeper *Sweeper
 	read    time.Time // when the period was read last
 }
 
-func newPlainKeys(client platform.Client) *plainKeys {
+func newPlainKeys(client store.Client) *plainKeys {
 	return &plainKeys{client: client, sweeper: NewSweeper(client)}
 }
 
--- a/once/service.go
+++ b/once/service.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"amaranthstile/link"
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/result"
 )
 
@@ -36,7 +36,7 @@
 	// Candidates returns instances that may be homes of new keys, the preferred ones first.
 	Candidates func() []string
 	// Platform holds the keys that callers made up.
-	Platform platform.Client
+	Platform store.Client
 	// Successors returns the instances to which a home is handed over, the preferred ones first; all instances that
 	// see the same fleet see the same ones.
 	Successors func(home string) []string
--- a/once/sweep.go
+++ b/once/sweep.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/result"
 )
 
@@ -24,14 +24,14 @@
 // at once. It compares no clocks: a period ends only when one sweeper has seen it last for PeriodTime by its own
 // monotonic clock, so keys are kept at least keptPeriods times as long.
 type Sweeper struct {
-	client  platform.Client
+	client  store.Client
 	period  uint64
-	version platform.Version
+	version store.Version
 	since   time.Time
 }
 
 // NewSweeper returns a sweeper; no call is made.
-func NewSweeper(client platform.Client) *Sweeper {
+func NewSweeper(client store.Client) *Sweeper {
 	return &Sweeper{client: client}
 }
 
--- a/result/code.go
+++ b/result/code.go
@@ -41,6 +41,7 @@
 	PlatformLimited        Code = 3005
 	PlatformOutcomeUnknown Code = 3006
 	PlatformProtocol       Code = 3007
+	PlatformHistoryGone    Code = 3008
 	PlatformNameInvalid    Code = 3101
 
 	RouteNotFound       Code = 4001
@@ -86,6 +87,7 @@
 	BackendEjected     Code = 5012
 	IdentityDraining   Code = 5013
 	IdentityTaken      Code = 5014
+	BackendShed        Code = 5015
 
 	LinkUnreachable Code = 6001
 	LinkBroken      Code = 6002
@@ -150,6 +152,7 @@
 	{PlatformLimited, "platform-limited", http.StatusTooManyRequests, "The platform's allowance of calls is spent."},
 	{PlatformOutcomeUnknown, "platform-outcome-unknown", http.StatusServiceUnavailable, "A write may have taken effect; its answer was lost."},
 	{PlatformProtocol, "platform-protocol", http.StatusBadGateway, "The platform's answer breaks its protocol."},
+	{PlatformHistoryGone, "platform-history-gone", http.StatusGone, "The changes since the asked revision are no longer known; read anew."},
 	{PlatformNameInvalid, "platform-name-invalid", http.StatusBadRequest, "No object can have this name."},
 
 	{RouteNotFound, "route-not-found", http.StatusNotFound, "No route matches the host and path."},
@@ -195,6 +198,7 @@
 	{BackendEjected, "backend-ejected", http.StatusServiceUnavailable, "The backend server is out of use."},
 	{IdentityDraining, "identity-draining", http.StatusConflict, "A backend server of this identity is draining; announce again after it left or its lease lapsed."},
 	{IdentityTaken, "identity-taken", http.StatusConflict, "A backend server of this identity is announced at another address."},
+	{BackendShed, "backend-shed", http.StatusServiceUnavailable, "The backend server refused the request without running it."},
 
 	{LinkUnreachable, "link-unreachable", http.StatusBadGateway, "The other instance takes no connection."},
 	{LinkBroken, "link-broken", http.StatusBadGateway, "The connection to the other instance broke before an answer."},
--- a/result/error.go
+++ b/result/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -11,6 +12,7 @@
 	coded        = namespace.NewType("coded")
 	codeProperty = errorx.RegisterPrintableProperty("code")
 	runProperty  = errorx.RegisterPrintableProperty("run")
+	waitProperty = errorx.RegisterPrintableProperty("retryAfter")
 )
 
 // New makes an error that carries code; the message is for people and holds no secrets.
@@ -45,6 +47,23 @@
 	return &wrapped{coded: e.WithProperty(runProperty, run), cause: err}
 }
 
+// WithRetryAfter returns err with the time after which trying again may help.
+func WithRetryAfter(err error, after time.Duration) error {
+	var e *errorx.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	return &wrapped{coded: e.WithProperty(waitProperty, after), cause: err}
+}
+
+// RetryAfterOf returns the time after which trying again may help, 0 where nothing is known.
+func RetryAfterOf(err error) time.Duration {
+	if v, ok := property(err, waitProperty); ok {
+		return v.(time.Duration)
+	}
+	return 0
+}
+
 // CodeOf returns the code that err carries, OK for nil and Internal for an error without a code.
 func CodeOf(err error) Code {
 	if err == nil {
--- a/route/table.go
+++ b/route/table.go
@@ -17,6 +17,7 @@
 const (
 	defaultTimeLimit = 30 * time.Second
 	defaultMaxBody   = 16 << 20 // bytes
+	defaultMaxRuns   = 4
 )
 
 // Route is a route ready for use.
@@ -30,10 +31,31 @@
 	// TimeLimit bounds a request from its arrival.
 	TimeLimit time.Duration
 	// MaxBody bounds a request's body, in bytes.
-	MaxBody    int64
+	MaxBody int64
+	// MaxRuns is at how many endpoints one request may run.
+	MaxRuns int
+	// Target is the time within which an answer is worth most, 0 for none.
+	Target time.Duration
+	// Priority ranks waiting requests, 0 first.
+	Priority   int
+	below      bool
+	parts      []ticket.Part
+	weight     float64 // of all parts
 	repeatable []string
 }
 
+// Pick returns the service of one request; u is uniform from 0 to below 1.
+func (r *Route) Pick(u float64) string {
+	u *= r.weight
+	for _, p := range r.parts {
+		if u < p.Weight {
+			return p.Service
+		}
+		u -= p.Weight
+	}
+	return r.Service
+}
+
 // Repeatable reports whether a request with this method may be sent again.
 func (r *Route) Repeatable(method string) bool { return slices.Contains(r.repeatable, method) }
 
@@ -98,8 +120,22 @@
 		Open:       r.Open,
 		TimeLimit:  time.Duration(r.TimeLimitMillis) * time.Millisecond,
 		MaxBody:    r.MaxBodyBytes,
+		MaxRuns:    r.MaxRuns,
+		Target:     time.Duration(r.TargetMillis) * time.Millisecond,
+		Priority:   r.Priority,
+		below:      r.Below,
 		repeatable: r.Repeatable,
 	}
+	for _, p := range r.Split {
+		if p.Weight > 0 {
+			out.parts = append(out.parts, p)
+			out.weight += p.Weight
+			out.Service = p.Service // where rounding leaves none of the parts
+		}
+	}
+	if out.MaxRuns == 0 {
+		out.MaxRuns = defaultMaxRuns
+	}
 	if out.TimeLimit == 0 {
 		out.TimeLimit = defaultTimeLimit
 	}
@@ -118,13 +154,14 @@
 // Lookup returns the route with the longest prefix for the host, or else for every host. The host may carry
 // a port.
 func (t *Table) Lookup(host, path string) (*Route, bool) {
+	whole := path
 	path = searched(path, t.segments)
 	if host = hostName(host); host != "" {
-		if r, ok := t.longest(host, path); ok {
+		if r, ok := t.longest(host, path, whole); ok {
 			return r, true
 		}
 	}
-	return t.longest("", path)
+	return t.longest("", path, whole)
 }
 
 // hostName strips the port and a final dot, and takes the case away.
@@ -155,9 +192,9 @@
 }
 
 // longest walks up the path's segments.
-func (t *Table) longest(host, path string) (*Route, bool) {
+func (t *Table) longest(host, path, whole string) (*Route, bool) {
 	for len(path) > 1 {
-		if r, ok := t.places.Get(place{host, path}); ok {
+		if r, ok := t.places.Get(place{host, path}); ok && (!r.below || len(path) < len(whole)) {
 			return r, true
 		}
 		path = path[:max(strings.LastIndexByte(path, '/'), 0)]
--- /dev/null
+++ b/sidecar/allotments.go
@@ -0,0 +1,319 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthstile/contract"
+	"amaranthstile/event"
+	"amaranthstile/link"
+	"amaranthstile/membership"
+	"amaranthstile/result"
+)
+
+// methodUsage tells a home what was spent and asks for more.
+const methodUsage link.Method = "account.usage"
+
+const (
+	// usageTimeout bounds one call to a home: many times its usual answer, and a small part of a request's time.
+	usageTimeout = 150 * time.Millisecond
+	// homeRest is how long a home that did not answer is left alone; meanwhile each instance has its own part.
+	homeRest = time.Second
+	// instancesPerHome is how many instances share a home; more homes share the work of a larger fleet.
+	instancesPerHome = 32
+	// usageQueue bounds the requests that wait to be told to one home.
+	usageQueue = 1024
+	// unlimitedRate is the rate from which an account counts as one without a limit.
+	unlimitedRate = 1e8
+	// leastRetryAfter keeps callers that were refused from coming back at once, all together.
+	leastRetryAfter = 200 * time.Millisecond
+)
+
+// usageCall is what an instance tells a home, by account.
+type usageCall struct {
+	Accounts map[string]usage `json:"accounts"`
+}
+
+type usage struct {
+	Spent int `json:"spent,omitempty"`
+	Asked int `json:"asked,omitempty"`
+}
+
+type usageAnswer struct {
+	Accounts map[string]contract.PoolState `json:"accounts"`
+}
+
+// allotments keeps each client account within its rate and burst over the whole fleet. It implements contract.Admitter.
+type allotments struct {
+	instance *Instance
+
+	mu     sync.Mutex
+	purses map[string]*contract.Purse // by account
+	pools  map[string]*contract.Pool  // of the accounts whose home this is
+	homes  map[membership.ID]*home
+}
+
+// home is what waits to be told to one home.
+type home struct {
+	id      membership.ID
+	restTo  time.Time
+	waiting []*spending // guarded by allotments.mu
+	calling bool        // guarded by allotments.mu
+}
+
+// spending is one request that is told to a home; answer is nil where it went already.
+type spending struct {
+	account string
+	answer  chan spendingAnswer
+}
+
+type spendingAnswer struct {
+	granted bool
+	after   time.Duration
+	err     error
+}
+
+func newAllotments(i *Instance) *allotments {
+	return &allotments{
+		instance: i,
+		purses:   make(map[string]*contract.Purse),
+		pools:    make(map[string]*contract.Pool),
+		homes:    make(map[membership.ID]*home),
+	}
+}
+
+// homeOf returns the home of an account: every instance with the same view chooses the same, and few accounts move when an
+// instance comes or goes.
+func (a *allotments) homeOf(account string) membership.ID {
+	d := a.instance.members.Directory()
+	shards := max(len(d.Records())/instancesPerHome, 1)
+	shard := xxhash.Sum64String(account) % uint64(shards)
+	return d.Ranked(shard)
+}
+
+// Admit implements contract.Admitter.
+func (a *allotments) Admit(ctx context.Context, account *contract.Account) error {
+	if account.Rate >= unlimitedRate {
+		return nil
+	}
+	now := time.Now()
+	id := a.homeOf(account.Name)
+	a.mu.Lock()
+	h := a.home(id)
+	p := a.purse(account.Name)
+	verdict, after := p.Admit(now, now.After(h.restTo), a.share(account))
+	var s *spending
+	switch verdict {
+	case contract.SpendNow:
+		s = &spending{account: account.Name}
+	case contract.AskFirst:
+		s = &spending{account: account.Name, answer: make(chan spendingAnswer, 1)}
+	}
+	if s != nil {
+		a.tell(h, s)
+	}
+	a.mu.Unlock()
+	switch verdict {
+	case contract.Refuse:
+		return a.refusal(account, after)
+	case contract.AskFirst:
+		return a.await(ctx, account, s)
+	}
+	return nil
+}
+
+func (a *allotments) refusal(account *contract.Account, after time.Duration) error {
+	return result.WithRetryAfter(result.New(result.RateExceeded, "the rate and burst of %s are spent", account.Name), max(after, leastRetryAfter))
+}
+
+// await waits for the home's decision. Without one, the instance's own part decides.
+func (a *allotments) await(ctx context.Context, account *contract.Account, s *spending) error {
+	select {
+	case x := <-s.answer:
+		if x.err == nil && x.granted {
+			return nil
+		}
+		if x.err == nil {
+			return a.refusal(account, x.after)
+		}
+	case <-ctx.Done():
+		return result.New(result.DeadlinePassed, "the request's time passed before its rate was known")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if verdict, after := a.purse(account.Name).Admit(time.Now(), false, a.share(account)); verdict == contract.Refuse {
+		return a.refusal(account, after)
+	}
+	return nil
+}
+
+// share is this instance's part of an account while its home can't be reached.
+func (a *allotments) share(account *contract.Account) contract.PurseShare {
+	n := float64(max(len(a.instance.members.Directory().Records()), 1))
+	return contract.PurseShare{Rate: account.Rate / n, Burst: max(float64(account.Burst)/n, 1)}
+}
+
+func (a *allotments) purse(account string) *contract.Purse {
+	p := a.purses[account]
+	if p == nil {
+		p = &contract.Purse{}
+		a.purses[account] = p
+	}
+	return p
+}
+
+func (a *allotments) home(id membership.ID) *home {
+	h := a.homes[id]
+	if h == nil {
+		h = &home{id: id}
+		a.homes[id] = h
+	}
+	return h
+}
+
+// tell lets a home know of a request, together with others that wait meanwhile; the caller holds the lock.
+func (a *allotments) tell(h *home, s *spending) {
+	if len(h.waiting) >= usageQueue {
+		if s.answer != nil {
+			s.answer <- spendingAnswer{err: result.New(result.LinkBusy, "too much waits to be told to the home")}
+		}
+		return
+	}
+	h.waiting = append(h.waiting, s)
+	if !h.calling {
+		h.calling = true
+		go a.call(h)
+	}
+}
+
+// call tells a home all that waits, until nothing does.
+func (a *allotments) call(h *home) {
+	for {
+		a.mu.Lock()
+		batch := h.waiting
+		h.waiting = nil
+		if len(batch) == 0 {
+			h.calling = false
+			a.mu.Unlock()
+			return
+		}
+		a.mu.Unlock()
+		call := usageCall{Accounts: make(map[string]usage)}
+		for _, s := range batch {
+			u := call.Accounts[s.account]
+			if s.answer == nil {
+				u.Spent++
+			} else {
+				u.Asked++
+			}
+			call.Accounts[s.account] = u
+		}
+		answer, err := a.send(h.id, call)
+		a.settle(h, batch, call, answer, err)
+	}
+}
+
+func (a *allotments) send(id membership.ID, call usageCall) (answer usageAnswer, err error) {
+	if id == a.instance.id {
+		return a.spend(call), nil
+	}
+	r, ok := a.instance.members.Directory().Record(id)
+	if !ok {
+		return answer, result.New(result.PeerUnknown, "the home %s is not in the membership", id)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
+	defer cancel()
+	err = a.instance.calls.Call(ctx, r.Control.String(), methodUsage, call, &answer)
+	return answer, err
+}
+
+// settle takes over a home's answer.
+func (a *allotments) settle(h *home, batch []*spending, call usageCall, answer usageAnswer, err error) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.instance.options.Events.Log(event.HomeSilent, event.F("home", string(h.id)), event.F("code", int(result.CodeOf(err))), event.F("accounts", len(call.Accounts)))
+		h.restTo = now.Add(homeRest)
+	}
+	for name, u := range call.Accounts {
+		if err != nil {
+			a.purse(name).Lost(u.Spent)
+			continue
+		}
+		a.purse(name).Told(now, u.Spent, answer.Accounts[name])
+	}
+	for _, s := range batch {
+		if s.answer == nil {
+			continue
+		}
+		state := answer.Accounts[s.account]
+		x := spendingAnswer{err: err, granted: state.Granted > 0, after: time.Duration(state.NextMillis) * time.Millisecond}
+		state.Granted--
+		if err == nil {
+			answer.Accounts[s.account] = state
+		}
+		s.answer <- x
+	}
+}
+
+// answer answers the call of another instance.
+func (a *allotments) answer(_ context.Context, call usageCall) (any, error) {
+	return a.spend(call), nil
+}
+
+// spend counts at the home.
+func (a *allotments) spend(call usageCall) usageAnswer {
+	out := usageAnswer{Accounts: make(map[string]contract.PoolState, len(call.Accounts))}
+	view := a.instance.configuration.view()
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, u := range call.Accounts {
+		if view == nil {
+			continue
+		}
+		account, ok := view.Accounts.Account(name)
+		if !ok {
+			continue
+		}
+		p := a.pools[name]
+		if p == nil {
+			p = &contract.Pool{}
+			a.pools[name] = p
+		}
+		p.Set(now, account.Rate, float64(account.Burst))
+		out.Accounts[name] = p.Spend(now, u.Spent, u.Asked)
+	}
+	return out
+}
+
+// sweepEvery is how often what is kept of accounts and homes that are gone is dropped.
+const sweepEvery = time.Minute
+
+// run drops what is not needed any more, until ctx ends.
+func (a *allotments) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepEvery)
+		view := a.instance.configuration.view()
+		if view == nil {
+			continue
+		}
+		a.mu.Lock()
+		for name := range a.purses {
+			if _, ok := view.Accounts.Account(name); !ok {
+				delete(a.purses, name)
+				delete(a.pools, name)
+			}
+		}
+		for id, h := range a.homes {
+			if _, ok := a.instance.members.Directory().Record(id); !ok && !h.calling {
+				delete(a.homes, id)
+			}
+		}
+		a.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,256 @@
+package sidecar
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"amaranthstile/backend/admission"
+	"amaranthstile/choice"
+	"amaranthstile/entry"
+	"amaranthstile/event"
+	"amaranthstile/exit"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+	"amaranthstile/link"
+	"amaranthstile/membership"
+)
+
+// Options are the options of an instance; all fields are needed but where a default is named.
+type Options struct {
+	Settings *Settings
+	Store    Store
+	// Decode reads what the operator wrote.
+	Decode func(specification []byte) (*Configuration, error)
+	// Callers adapts the handler for callers to their protocol; Refuse answers them with an error.
+	Callers func(next http.Handler) http.Handler
+	Refuse  func(w http.ResponseWriter, err error)
+	// RequestID returns a request's identity for the log.
+	RequestID func(r *http.Request) string
+	// Backends is how backend servers are spoken to.
+	Backends exit.Dialect
+	// Reports returns the handler for the reports of the backend server.
+	Reports func(Reporter) http.Handler
+	// Readiness is the path of the question whether requests are taken.
+	Readiness string
+	Events    *event.Logger
+	// Network reaches other instances; default the system's.
+	Network link.Network
+}
+
+// Reporter takes the reports of the backend server.
+type Reporter interface {
+	Report(r Report)
+	Leave(id string, born time.Time)
+}
+
+// Instance is one process of the fleet.
+type Instance struct {
+	options   Options
+	id        membership.ID
+	exchange  atomic.Uint64
+	system    *actor.ActorSystem
+	service   atomic.Pointer[string] // of the backend server beside the instance
+	listeners listeners
+
+	members       *gossip.Members
+	configuration *configuration
+	discovery     *discovery
+	slot          *slot
+	allotments    *allotments
+	control       *link.ControlServer
+	calls         *link.ControlClient
+	forwarder     *link.Forwarder
+	metrics       *metrics
+	traffic       link.Traffic
+
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	stopping atomic.Bool
+}
+
+// Start opens the sockets and starts the instance.
+func Start(o Options) (*Instance, error) {
+	if o.Network == nil {
+		o.Network = link.System{}
+	}
+	i := &Instance{options: o, id: membership.ID(randomID())}
+	i.service.Store(&o.Settings.Service)
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	i.build()
+	i.run()
+	o.Events.Log(event.InstanceStarted, event.F("id", string(i.id)), event.F("domain", o.Settings.Domain), event.F("service", o.Settings.Service), event.F("callers", o.Settings.Callers.String()), event.F("link", o.Settings.Link.String()), event.F("control", o.Settings.Control.String()))
+	return i, nil
+}
+
+// idBytes is the length of a process's identity.
+const idBytes = 6
+
+func randomID() string {
+	b := make([]byte, idBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+func (i *Instance) build() {
+	s := i.options.Settings
+	i.system = owner.NewSystem()
+	i.control = link.NewControlServer()
+	i.control.LogTo(i.options.Events)
+	i.calls = link.NewControlClient(i.options.Network, nil)
+	i.control.Traffic, i.calls.Traffic = &i.traffic, &i.traffic
+	i.forwarder = link.NewForwarder(i.options.Network, nil)
+	self := membership.Record{ID: i.id, Name: s.Name, Domain: s.Domain, Region: s.Region, Link: s.Link, Control: s.Control}
+	i.members = gossip.New(owner.New(i.system), self, i.listeners.membership, i.calls, i.options.Events)
+	i.members.Traffic = &i.traffic
+	i.configuration = newConfiguration(i.options, i.members, i.calls, self)
+	i.discovery = &discovery{store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events}
+	i.slot = newSlot(i.options.Events, i.repeats, i.members.SetEndpoints)
+	i.allotments = newAllotments(i)
+	i.metrics = newMetrics(i)
+	link.Register(i.control, gossip.MethodSync, i.members.AnswerSync)
+	link.Register(i.control, methodConfiguration, i.configuration.answer)
+	link.Register(i.control, methodUsage, i.allotments.answer)
+}
+
+// repeats is this instance's part of the bound on repeats: the slack is divided among the endpoints of the service.
+func (i *Instance) repeats() admission.Bound {
+	b := i.options.Settings.Bounds
+	endpoints := len(i.members.Directory().Endpoints(*i.service.Load()))
+	return admission.Bound{Window: b.RetryWindow, Ratio: b.RetryRatio, Slack: b.RetrySlack / float64(max(endpoints, 1))}
+}
+
+// listeners are the open sockets of an instance.
+type listeners struct {
+	callers, link, ready, slot, control net.Listener
+	membership                          net.PacketConn
+}
+
+func (i *Instance) listen() error {
+	s := i.options.Settings
+	for _, x := range []struct {
+		to   *net.Listener
+		addr netip.AddrPort
+	}{
+		{&i.listeners.callers, s.Callers},
+		{&i.listeners.link, s.Link},
+		{&i.listeners.ready, s.Ready},
+		{&i.listeners.slot, s.Slot},
+	} {
+		opened, err := net.Listen("tcp", x.addr.String())
+		if err != nil {
+			i.listeners.close()
+			return err
+		}
+		*x.to = opened
+	}
+	control, datagrams, err := gossip.Listen(i.options.Network, s.Control)
+	if err != nil {
+		i.listeners.close()
+		return err
+	}
+	i.listeners.control, i.listeners.membership = control, datagrams
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, x := range []net.Listener{l.callers, l.link, l.ready, l.slot, l.control} {
+		if x != nil {
+			_ = x.Close()
+		}
+	}
+}
+
+func (i *Instance) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	entrySide := entry.New(entry.Options{
+		View:          i.configuration.view,
+		Directory:     i.members.Directory,
+		Admitter:      i.allotments,
+		Selector:      i.newPlacement(),
+		Forwarder:     i.forwarder,
+		NewExchange:   i.newExchange,
+		Standing:      i.standing,
+		Refuse:        i.options.Refuse,
+		CallerService: func() string { return *i.service.Load() },
+		Decided:       i.decided,
+	})
+	exitSide := exit.New(exit.Options{
+		Units:    i.slot.units,
+		Observer: i.slot,
+		MayRun:   i.configuration.mayRun,
+		Dialect:  i.options.Backends,
+		Gone:     i.slot.gone,
+	})
+	callers := entry.NewServer(i.closeWhenStopping(i.metrics.count("entry", i.options.Callers(entrySide))))
+	i.serveOn(callers, entry.Listen(i.listeners.callers))
+	i.serve(i.listeners.link, i.closeWhenStopping(i.metrics.count("exit", exitSide)))
+	i.serve(i.listeners.slot, i.options.Reports(i.slot))
+	i.serve(i.listeners.ready, i.readyHandler())
+	i.running.Go(func() { _ = i.control.Serve(i.listeners.control) })
+	i.running.Go(func() { i.members.Run(ctx) })
+	i.running.Go(func() { i.discovery.run(ctx) })
+	i.running.Go(func() { i.configuration.run(ctx) })
+	i.running.Go(func() { i.configuration.follow(ctx) })
+	i.running.Go(func() { i.allotments.run(ctx) })
+}
+
+func (i *Instance) newPlacement() *choice.Placement {
+	return choice.NewPlacement(choice.PlacementOptions{Domain: i.options.Settings.Domain, Now: time.Now, Rand: mathrand.Float64})
+}
+
+// newExchange makes an identity that no other instance and no later process makes.
+func (i *Instance) newExchange() string {
+	return string(i.id) + "-" + strconv.FormatUint(i.exchange.Add(1), 36)
+}
+
+// decided logs what the entry side decided on a request.
+func (i *Instance) decided(d entry.Decision) {
+	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	serverHeaderBytes = 64 << 10
+)
+
+func (i *Instance) serve(l net.Listener, h http.Handler) {
+	i.serveOn(&http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       link.IdleTimeout,
+		MaxHeaderBytes:    serverHeaderBytes,
+	}, l)
+}
+
+func (i *Instance) serveOn(s *http.Server, l net.Listener) {
+	s.ErrorLog = event.ServerLog(i.options.Events).Std("", 0)
+	i.servers = append(i.servers, s)
+	i.running.Go(func() {
+		err := s.Serve(l)
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			i.options.Events.Log(event.ServerFailed, event.F("error", err.Error()))
+		}
+	})
+}
+
+// Reload takes over changed settings. What can change while the process runs is the service beside it and the bounds.
+func (i *Instance) Reload(s *Settings) {
+	i.service.Store(&s.Service)
+	i.options.Events.Log(event.SettingsReloaded, event.F("service", s.Service))
+}
--- /dev/null
+++ b/sidecar/stop.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"amaranthstile/event"
+)
+
+const (
+	// readyNotice is how long after the signal callers may still come: the platform asks each second and believes the
+	// second miss.
+	readyNotice = 2500 * time.Millisecond
+	// stopMargin is how long before the end by force the last requests are ended and the process exits.
+	stopMargin = 400 * time.Millisecond
+)
+
+// closeWhenStopping asks callers and entry sides to leave their connections with the next answer once a planned stop began, so
+// that few connections are idle when they are closed.
+func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// readyHandler tells the platform whether requests are taken, and serves the metrics.
+func (i *Instance) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(i.options.Readiness, func(w http.ResponseWriter, _ *http.Request) {
+		if !i.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Ready tells whether requests are taken: a configuration is in force, another instance is known and no stop began.
+func (i *Instance) Ready() bool {
+	return !i.stopping.Load() && i.configuration.version() > 0 && len(i.members.Directory().Records()) > 1
+}
+
+// Stop shuts down without cutting a request: it tells the platform and the other instances, serves on until they send
+// nothing more, finishes what runs and closes. What still runs shortly before the end by force is cut.
+func (i *Instance) Stop() {
+	if i.stopping.Swap(true) {
+		return
+	}
+	begun := time.Now()
+	i.options.Events.Log(event.InstanceDraining)
+	i.members.Drain()
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(i.options.Settings.Bounds.GracePeriod-stopMargin))
+	defer cancel()
+	sleep(ctx, readyNotice)
+	for _, s := range i.servers {
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	}
+	i.members.Leave()
+	i.cancel()
+	i.options.Events.Log(event.InstanceStopped, event.F("took_ms", time.Since(begun).Milliseconds()))
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,7 +5,7 @@
 	"time"
 
 	backendstandin "amaranthstile/backend/standin"
-	"amaranthstile/platform/standin"
+	"amaranthstile/store/standin"
 	"amaranthstile/result"
 	"amaranthstile/ticket"
 )
--- a/platform/answer.go
+++ b/store/answer.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"net/http"
--- a/platform/contract_test.go
+++ b/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -10,31 +10,31 @@
 
 	"github.com/matryer/is"
 
-	"amaranthstile/platform"
-	"amaranthstile/platform/standin"
+	objects "amaranthstile/store"
+	"amaranthstile/store/standin"
 	"amaranthstile/result"
 )
 
 const watchWait = 50 * time.Millisecond
 
 // newHTTP returns a client of a stand-in with its server and the store behind it.
-func newHTTP(t *testing.T, callTimeout time.Duration) (*platform.HTTP, *standin.Server, *platform.Memory) {
+func newHTTP(t *testing.T, callTimeout time.Duration) (*objects.HTTP, *standin.Server, *objects.Memory) {
 	t.Helper()
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	server := standin.New(store)
 	h := httptest.NewServer(server)
 	t.Cleanup(h.Close)
-	return platform.NewHTTP(platform.HTTPOptions{Base: h.URL, CallTimeout: callTimeout, WatchWait: watchWait}), server, store
+	return objects.NewHTTP(objects.HTTPOptions{Base: h.URL, CallTimeout: callTimeout, WatchWait: watchWait}), server, store
 }
 
 func TestContract(t *testing.T) {
-	clients := map[string]func(t *testing.T) platform.Client{
-		"memory": func(*testing.T) platform.Client {
-			m := platform.NewMemory()
+	clients := map[string]func(t *testing.T) objects.Client{
+		"memory": func(*testing.T) objects.Client {
+			m := objects.NewMemory()
 			m.WatchWait = watchWait
 			return m
 		},
-		"http": func(t *testing.T) platform.Client {
+		"http": func(t *testing.T) objects.Client {
 			c, _, _ := newHTTP(t, 10*time.Second)
 			return c
 		},
@@ -45,10 +45,10 @@
 }
 
 // testClient is the contract of every Client.
-func testClient(t *testing.T, newClient func(t *testing.T) platform.Client) {
+func testClient(t *testing.T, newClient func(t *testing.T) objects.Client) {
 	ctx := context.Background()
-	for name, check := range map[string]func(is *is.I, c platform.Client){
-		"versions grow, also over a delete": func(is *is.I, c platform.Client) {
+	for name, check := range map[string]func(is *is.I, c objects.Client){
+		"versions grow, also over a delete": func(is *is.I, c objects.Client) {
 			one, err := c.Put(ctx, "a/b", 0, []byte("1"))
 			is.NoErr(err)
 			two, err := c.Put(ctx, "a/b", one, []byte("2"))
@@ -64,7 +64,7 @@
 			is.Equal(o.Version, three)
 			is.Equal(len(o.Value), 0)
 		},
-		"of two writers one gets a conflict": func(is *is.I, c platform.Client) {
+		"of two writers one gets a conflict": func(is *is.I, c objects.Client) {
 			v, err := c.Put(ctx, "a", 0, []byte("first"))
 			is.NoErr(err)
 			_, err = c.Put(ctx, "a", 0, []byte("second"))
@@ -79,13 +79,13 @@
 			is.NoErr(err)
 			is.Equal(string(o.Value), "first")
 		},
-		"an absent object is not found": func(is *is.I, c platform.Client) {
+		"an absent object is not found": func(is *is.I, c objects.Client) {
 			_, err := c.Get(ctx, "absent")
 			is.True(result.Is(err, result.PlatformNotFound))
 			_, err = c.Watch(ctx, "absent", 0)
 			is.True(result.Is(err, result.PlatformNotFound))
 		},
-		"a watch gives what is there, wakes, and ends unchanged": func(is *is.I, c platform.Client) {
+		"a watch gives what is there, wakes, and ends unchanged": func(is *is.I, c objects.Client) {
 			v, err := c.Put(ctx, "a", 0, []byte("1"))
 			is.NoErr(err)
 			o, err := c.Watch(ctx, "a", 0)
@@ -94,9 +94,9 @@
 			o, err = c.Watch(ctx, "a", v)
 			is.NoErr(err)
 			is.Equal(o.Version, v) // unchanged
-			woken := make(chan platform.Object)
+			woken := make(chan objects.Object)
 			go func() {
-				o := platform.Object{Version: v}
+				o := objects.Object{Version: v}
 				for err := error(nil); err == nil && o.Version == v; {
 					o, err = c.Watch(ctx, "a", v)
 				}
@@ -106,7 +106,7 @@
 			is.NoErr(err)
 			is.Equal(string((<-woken).Value), "2")
 		},
-		"a list has names and versions in order, without values": func(is *is.I, c platform.Client) {
+		"a list has names and versions in order, without values": func(is *is.I, c objects.Client) {
 			for _, name := range []string{"a/2", "b", "a/1", "a-0"} {
 				_, err := c.Put(ctx, name, 0, []byte("value"))
 				is.NoErr(err)
@@ -122,8 +122,8 @@
 			is.NoErr(err)
 			is.Equal(len(none), 0)
 		},
-		"a value has at most 1 MB": func(is *is.I, c platform.Client) {
-			full := bytes.Repeat([]byte("x"), platform.MaxValueBytes)
+		"a value has at most 1 MB": func(is *is.I, c objects.Client) {
+			full := bytes.Repeat([]byte("x"), objects.MaxValueBytes)
 			_, err := c.Put(ctx, "full", 0, full)
 			is.NoErr(err)
 			o, err := c.Get(ctx, "full")
@@ -132,8 +132,8 @@
 			_, err = c.Put(ctx, "over", 0, append(full, 'x'))
 			is.True(result.Is(err, result.PlatformTooLarge))
 		},
-		"names are checked": func(is *is.I, c platform.Client) {
-			for _, name := range []string{"", "/a", "a/", "a//b", "A", "a b", "a?b", "..", "ä", strings.Repeat("a", platform.MaxNameBytes+1)} {
+		"names are checked": func(is *is.I, c objects.Client) {
+			for _, name := range []string{"", "/a", "a/", "a//b", "A", "a b", "a?b", "..", "ä", strings.Repeat("a", objects.MaxNameBytes+1)} {
 				_, err := c.Get(ctx, name)
 				is.True(result.Is(err, result.PlatformNameInvalid)) // get
 				_, err = c.Put(ctx, name, 0, nil)
@@ -165,7 +165,7 @@
 	is.True(err != nil)
 	server.SetFaults(standin.Faults{})
 	is.NoErr(c.Delete(ctx, "a", v))
-	is.Equal(server.Calls(), map[platform.Call]uint64{
-		platform.CallPut: 1, platform.CallWatch: 1, platform.CallList: 1, platform.CallGet: 1, platform.CallDelete: 1,
+	is.Equal(server.Calls(), map[objects.Call]uint64{
+		objects.CallPut: 1, objects.CallWatch: 1, objects.CallList: 1, objects.CallGet: 1, objects.CallDelete: 1,
 	})
 }
--- a/platform/fault_test.go
+++ b/store/fault_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 	"github.com/matryer/is"
 
-	"amaranthstile/platform"
-	"amaranthstile/platform/standin"
+	objects "amaranthstile/store"
+	"amaranthstile/store/standin"
 	"amaranthstile/result"
 )
 
@@ -121,7 +121,7 @@
 			return nil, ctx.Err()
 		}},
 	} {
-		c := platform.NewHTTP(platform.HTTPOptions{Base: "http://127.0.0.1:9", CallTimeout: 20 * time.Millisecond, Transport: transport})
+		c := objects.NewHTTP(objects.HTTPOptions{Base: "http://127.0.0.1:9", CallTimeout: 20 * time.Millisecond, Transport: transport})
 		_, err := c.Put(context.Background(), "a", 0, nil)
 		if !result.Is(err, result.PlatformUnavailable) {
 			t.Errorf("%s: %v", name, err)
@@ -139,7 +139,7 @@
 		unknown     = result.PlatformOutcomeUnknown
 		protocol    = result.PlatformProtocol
 	)
-	large := strconv.Itoa(platform.MaxValueBytes + 1)
+	large := strconv.Itoa(objects.MaxValueBytes + 1)
 	for name, c := range map[string]struct {
 		answer         string
 		get, put, list result.Code
@@ -152,7 +152,7 @@
 		"no length":        {"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nConnection: close\r\n\r\nhalf", protocol, unknown, protocol},
 		"half":             {"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nContent-Length: 9\r\n\r\nhalf", unavailable, unknown, unavailable},
 		"half chunk":       {"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", unavailable, unknown, unavailable},
-		"too large":        {"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nContent-Length: " + large + "\r\n\r\n" + strings.Repeat(" ", platform.MaxValueBytes+1), protocol, result.OK, protocol},
+		"too large":        {"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nContent-Length: " + large + "\r\n\r\n" + strings.Repeat(" ", objects.MaxValueBytes+1), protocol, result.OK, protocol},
 		"long header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 80<<10) + "\r\nContent-Length: 0\r\n\r\n", unavailable, unknown, unavailable},
 		"redirect":         {"HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/objects/b\r\nContent-Length: 0\r\n\r\n", protocol, unknown, protocol},
 		"other success":    {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", protocol, unknown, protocol},
@@ -174,7 +174,7 @@
 				_ = conn.Close()
 			}))
 			defer h.Close()
-			client := platform.NewHTTP(platform.HTTPOptions{Base: h.URL, CallTimeout: 10 * time.Second})
+			client := objects.NewHTTP(objects.HTTPOptions{Base: h.URL, CallTimeout: 10 * time.Second})
 			ctx := context.Background()
 			_, err := client.Put(ctx, "a", 4, []byte("x"))
 			is.Equal(result.CodeOf(err), c.put)
@@ -191,9 +191,9 @@
 func TestClosedIdleConnection(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	h := httptest.NewServer(standin.New(platform.NewMemory()))
+	h := httptest.NewServer(standin.New(objects.NewMemory()))
 	defer h.Close()
-	client := platform.NewHTTP(platform.HTTPOptions{Base: h.URL})
+	client := objects.NewHTTP(objects.HTTPOptions{Base: h.URL})
 	_, err := client.Put(ctx, "a/0", 0, nil)
 	is.NoErr(err)
 	h.CloseClientConnections()
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,4 +1,4 @@
-// Package platform is the interface to the users' object API, where everything lives that must outlast
+// Package store is the interface to the users' object API, where everything lives that must outlast
 // the instances, and the HTTP client for it.
 //
 // The API holds objects by name. Each has a version that grows with every write; a write names the version
@@ -7,7 +7,7 @@
 //
 // A write whose answer is lost gives PlatformOutcomeUnknown: it may have taken effect, now or later.
 // A read may be stale when it is answered by a lagging part of the platform: versions tell.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/standin/server.go
+++ b/store/standin/server.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"amaranthstile/platform"
+	"amaranthstile/store"
 	"amaranthstile/result"
 )
 
@@ -42,21 +42,21 @@
 
 // Server is the stand-in; it is an http.Handler.
 type Server struct {
-	store *platform.Memory
+	store *store.Memory
 
 	mu     sync.Mutex
 	faults Faults
-	stale  *platform.Memory
+	stale  *store.Memory
 	window time.Time
 	reads  int
 	writes int
-	calls  map[platform.Call]uint64
+	calls  map[store.Call]uint64
 	held   chan struct{} // calls wait until it is closed; nil for none
 }
 
-// New returns a stand-in over store.
-func New(store *platform.Memory) *Server {
-	return &Server{store: store, calls: make(map[platform.Call]uint64)}
+// New returns a stand-in over memory.
+func New(memory *store.Memory) *Server {
+	return &Server{store: memory, calls: make(map[store.Call]uint64)}
 }
 
 // SetFaults replaces the faults.
@@ -87,7 +87,7 @@
 }
 
 // Calls returns how many calls of each kind came, refused ones included; a watch is one, however long it waits.
-func (s *Server) Calls() map[platform.Call]uint64 {
+func (s *Server) Calls() map[store.Call]uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.calls)
@@ -103,7 +103,7 @@
 		_ = json.NewEncoder(w).Encode(s.Calls())
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, "body broke off", http.StatusBadRequest)
 		return
@@ -113,11 +113,11 @@
 		return
 	}
 	s.wait(time.Duration(f.DelayMillis) * time.Millisecond)
-	if r.URL.Path == platform.ListPath {
+	if r.URL.Path == store.ListPath {
 		s.list(w, r)
 		return
 	}
-	s.object(w, r, strings.TrimPrefix(r.URL.Path, platform.ObjectPath), value)
+	s.object(w, r, strings.TrimPrefix(r.URL.Path, store.ObjectPath), value)
 }
 
 func (s *Server) wait(d time.Duration) {
@@ -133,20 +133,20 @@
 }
 
 // callOf names the kind of a call, or "" for none.
-func callOf(r *http.Request) platform.Call {
-	name, object := strings.CutPrefix(r.URL.Path, platform.ObjectPath)
+func callOf(r *http.Request) store.Call {
+	name, object := strings.CutPrefix(r.URL.Path, store.ObjectPath)
 	object = object && name != ""
 	switch {
-	case r.Method == http.MethodGet && r.URL.Path == platform.ListPath:
-		return platform.CallList
-	case r.Method == http.MethodGet && object && r.URL.Query().Has(platform.QueryAfter):
-		return platform.CallWatch
+	case r.Method == http.MethodGet && r.URL.Path == store.ListPath:
+		return store.CallList
+	case r.Method == http.MethodGet && object && r.URL.Query().Has(store.QueryAfter):
+		return store.CallWatch
 	case r.Method == http.MethodGet && object:
-		return platform.CallGet
+		return store.CallGet
 	case r.Method == http.MethodPut && object:
-		return platform.CallPut
+		return store.CallPut
 	case r.Method == http.MethodDelete && object:
-		return platform.CallDelete
+		return store.CallDelete
 	}
 	return ""
 }
@@ -177,7 +177,7 @@
 	}
 	s.calls[call]++
 	if s.faults.Away {
-		w.Header().Set(platform.HeaderNotApplied, "1")
+		w.Header().Set(store.HeaderNotApplied, "1")
 		http.Error(w, "away", http.StatusServiceUnavailable)
 		return s.faults, false
 	}
@@ -202,7 +202,7 @@
 }
 
 // reader is the state that reads see.
-func (s *Server) reader() *platform.Memory {
+func (s *Server) reader() *store.Memory {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stale != nil {
@@ -217,9 +217,9 @@
 		fail(w, err)
 		return
 	}
-	rows := make([]platform.Listed, 0, len(objects))
+	rows := make([]store.Listed, 0, len(objects))
 	for _, o := range objects {
-		rows = append(rows, platform.Listed{Name: o.Name, Version: o.Version})
+		rows = append(rows, store.Listed{Name: o.Name, Version: o.Version})
 	}
 	body, _ := json.Marshal(rows)
 	s.answer(w, body)
@@ -254,9 +254,9 @@
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request, name string) {
-	var o platform.Object
+	var o store.Object
 	var err error
-	if after := r.URL.Query().Get(platform.QueryAfter); after != "" {
+	if after := r.URL.Query().Get(store.QueryAfter); after != "" {
 		o, err = s.watch(r, name, after)
 	} else {
 		o, err = s.reader().Get(r.Context(), name)
@@ -265,16 +265,16 @@
 		fail(w, err)
 		return
 	}
-	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(uint64(o.Version), 10))
+	w.Header().Set(store.HeaderVersion, strconv.FormatUint(uint64(o.Version), 10))
 	s.answer(w, o.Value)
 }
 
-func (s *Server) watch(r *http.Request, name, after string) (platform.Object, error) {
+func (s *Server) watch(r *http.Request, name, after string) (store.Object, error) {
 	version, _ := strconv.ParseUint(after, 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get(platform.QueryWait))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(store.QueryWait))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	return s.reader().Watch(ctx, name, platform.Version(version))
+	return s.reader().Watch(ctx, name, store.Version(version))
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request, name string, value []byte) {
@@ -289,7 +289,7 @@
 		fail(w, err)
 		return
 	}
-	w.Header().Set(platform.HeaderVersion, strconv.FormatUint(uint64(v), 10))
+	w.Header().Set(store.HeaderVersion, strconv.FormatUint(uint64(v), 10))
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -322,12 +322,12 @@
 }
 
 // before reads the condition of a write.
-func before(r *http.Request) (platform.Version, bool) {
+func before(r *http.Request) (store.Version, bool) {
 	if r.Header.Get("If-None-Match") == "*" {
 		return 0, true
 	}
 	v, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	return platform.Version(v), err == nil && v > 0
+	return store.Version(v), err == nil && v > 0
 }
 
 func fail(w http.ResponseWriter, err error) {
--- a/ticket/apply.go
+++ b/ticket/apply.go
@@ -85,7 +85,7 @@
 		for name := range t.Routes {
 			if old, ok := b.routes.Get(name); ok {
 				prefixes.Delete(hostPrefix{old.Value.Host, old.Value.Prefix})
-				count(uses, old.Value.Service, -1)
+				countAll(uses, old.Value, -1)
 			}
 		}
 		b.prefixes, b.uses = prefixes.Map(), uses.Map()
@@ -103,6 +103,13 @@
 	}
 }
 
+// countAll counts a route's services.
+func countAll(uses *cow.Editor[string, int], r *Route, by int) {
+	for _, service := range r.services() {
+		count(uses, service, by)
+	}
+}
+
 // index puts routes and accounts in the indexes.
 func (b *Book) index(routes map[string]*Route, accounts map[string]*Account) {
 	if len(routes) > 0 {
@@ -110,7 +117,7 @@
 		for name, r := range routes {
 			if r != nil {
 				prefixes.Set(hostPrefix{r.Host, r.Prefix}, name)
-				count(uses, r.Service, 1)
+				countAll(uses, r, 1)
 			}
 		}
 		b.prefixes, b.uses = prefixes.Map(), uses.Map()
--- a/ticket/check.go
+++ b/ticket/check.go
@@ -47,8 +47,14 @@
 
 func (b *Book) checkServices(t *Ticket) error {
 	for _, name := range sorted(t.Routes) {
-		if r := t.Routes[name]; r != nil && !b.hasService(t, r.Service) {
-			return result.New(result.TicketUnknownService, "routes.%s.service: no service %q", name, r.Service)
+		r := t.Routes[name]
+		if r == nil {
+			continue
+		}
+		for _, service := range r.services() {
+			if !b.hasService(t, service) {
+				return result.New(result.TicketUnknownService, "routes.%s.service: no service %q", name, service)
+			}
 		}
 	}
 	for _, name := range sorted(t.Services) {
@@ -71,7 +77,7 @@
 func (b *Book) usesAfter(t *Ticket, service string) int {
 	n, _ := b.uses.Get(service)
 	for name := range t.Routes {
-		if old, ok := b.routes.Get(name); ok && old.Value.Service == service {
+		if old, ok := b.routes.Get(name); ok && slices.Contains(old.Value.services(), service) {
 			n--
 		}
 	}
--- a/ticket/compact.go
+++ b/ticket/compact.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 const (
@@ -40,7 +40,7 @@
 	return fmt.Sprintf("%s%016d/%04d-%s", snapshotPrefix, m.Revision, n, hex.EncodeToString(m.Chunks[n][:digestBytes]))
 }
 
-func (l *Log) snapshotHead(ctx context.Context) (snapshotHead, platform.Version, error) {
+func (l *Log) snapshotHead(ctx context.Context) (snapshotHead, store.Version, error) {
 	o, err := l.client.Get(ctx, SnapshotHeadName)
 	if result.Is(err, result.PlatformNotFound) {
 		return snapshotHead{}, 0, nil
--- a/ticket/log.go
+++ b/ticket/log.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 // HeadName is the object that holds the last accepted ticket.
@@ -47,12 +47,12 @@
 
 // Log records and reads tickets in the platform. It keeps no state; all methods may be called at the same time.
 type Log struct {
-	client   platform.Client
+	client   store.Client
 	announce Announcer // nil for none
 }
 
 // NewLog returns the log in the platform behind client; a nil announcer announces nothing.
-func NewLog(client platform.Client, a Announcer) *Log {
+func NewLog(client store.Client, a Announcer) *Log {
 	return &Log{client: client, announce: a}
 }
 
@@ -62,7 +62,7 @@
 // a log without any ticket.
 type Head struct {
 	Entry
-	Version platform.Version
+	Version store.Version
 }
 
 // Head reads the newest entry.
@@ -72,12 +72,12 @@
 }
 
 // WatchHead waits until the head is newer than after, or until the platform ends the wait.
-func (l *Log) WatchHead(ctx context.Context, after platform.Version) (Head, error) {
+func (l *Log) WatchHead(ctx context.Context, after store.Version) (Head, error) {
 	o, err := l.client.Watch(ctx, HeadName, after)
 	return decodeHead(o, err)
 }
 
-func decodeHead(o platform.Object, err error) (Head, error) {
+func decodeHead(o store.Object, err error) (Head, error) {
 	if result.Is(err, result.PlatformNotFound) {
 		return Head{}, nil
 	}
--- a/ticket/log_test.go
+++ b/ticket/log_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	objects "amaranthstile/store"
 	"amaranthstile/ticket"
 )
 
@@ -236,7 +236,7 @@
 func TestCompactionBoundsTheLog(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	log, book := ticket.NewLog(store, nil), ticket.NewBook()
 	const tickets, every = 2100, 512
 	for n := range uint64(tickets) {
@@ -253,11 +253,11 @@
 	chunks, err := store.List(ctx, "ticket/snapshot/")
 	is.NoErr(err)
 	is.Equal(len(chunks), 3) // two snapshots of one chunk, and the head
-	before := store.Calls()[platform.CallGet]
+	before := store.Calls()[objects.CallGet]
 	fresh := ticket.NewBook()
 	h, err := log.Head(ctx)
 	is.NoErr(err)
 	is.NoErr(log.CatchUp(ctx, fresh, h))
 	is.Equal(state(fresh), state(book))
-	is.True(store.Calls()[platform.CallGet]-before < every)
+	is.True(store.Calls()[objects.CallGet]-before < every)
 }
--- a/ticket/snapshot_read.go
+++ b/ticket/snapshot_read.go
@@ -262,11 +262,13 @@
 	if other, twice := r.prefixes.Get(at); twice {
 		return damaged("routes.%s and routes.%s have the same host and prefix", i.Name, other)
 	}
-	if _, ok := r.services.Get(i.Value.Service); !ok {
-		return damaged("routes.%s names no service", i.Name)
+	for _, service := range i.Value.services() {
+		if _, ok := r.services.Get(service); !ok {
+			return damaged("routes.%s names no service", i.Name)
+		}
 	}
 	r.prefixes.Set(at, i.Name)
-	count(r.uses, i.Value.Service, 1)
+	countAll(r.uses, i.Value, 1)
 	return nil
 }
 
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 
 	"amaranthstile/internal/strict"
 	"amaranthstile/result"
@@ -48,6 +49,38 @@
 	TimeLimitMillis int `json:"timeLimitMillis,omitempty" cbor:"6,keyasint,omitempty"`
 	// MaxBodyBytes bounds a request's body; default 16 MiB.
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty" cbor:"7,keyasint,omitempty"`
+	// Split divides the requests among services by weight, in place of Service; default none.
+	Split []Part `json:"split,omitempty" cbor:"8,keyasint,omitempty"`
+	// MaxRuns is at how many endpoints one request may run, 1 to 16; default 4.
+	MaxRuns int `json:"maxRuns,omitempty" cbor:"9,keyasint,omitempty"`
+	// TargetMillis is the time within which an answer is worth most, in milliseconds; default none.
+	TargetMillis int `json:"targetMillis,omitempty" cbor:"10,keyasint,omitempty"`
+	// Priority ranks requests that wait for the same backend server, 0 first; default 0.
+	Priority int `json:"priority,omitempty" cbor:"11,keyasint,omitempty"`
+	// Below leaves out the prefix itself: only paths that go on after it with a slash match. Default false.
+	Below bool `json:"below,omitempty" cbor:"12,keyasint,omitempty"`
+}
+
+// services returns the services that the route leads to.
+func (r *Route) services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	var out []string
+	for _, p := range r.Split {
+		if !slices.Contains(out, p.Service) {
+			out = append(out, p.Service)
+		}
+	}
+	return out
+}
+
+// Part is one service of a split.
+type Part struct {
+	// Service is the name of the service.
+	Service string `json:"service" cbor:"1,keyasint"`
+	// Weight is the part's share of the sum of all weights, from 0.
+	Weight float64 `json:"weight" cbor:"2,keyasint"`
 }
 
 // Account is a client account.
@@ -60,6 +93,8 @@
 	Burst int `json:"burst" cbor:"3,keyasint"`
 	// Weight is the account's weight in fair queues, 1 to 100; default 1.
 	Weight int `json:"weight,omitempty" cbor:"4,keyasint,omitempty"`
+	// Priority ranks the account's requests in place of the route's priority, 0 first; default the route's.
+	Priority *int `json:"priority,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // KeyHash is the SHA-256 of a key; the key itself is held by its caller alone.
--- a/ticket/validate.go
+++ b/ticket/validate.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"unicode/utf8"
@@ -19,6 +20,8 @@
 	maxMethods       = 16
 	maxMethodBytes   = 32
 	maxBody          = 1 << 40 // bytes
+	maxRuns          = 16
+	maxPartWeight    = 1e6
 )
 
 const (
@@ -97,9 +100,12 @@
 	if len(r.Host) > maxHostBytes || strings.Trim(r.Host, nameBytes) != "" {
 		return result.New(result.TicketInvalid, "routes.%s.host: %q is not a host name in lower case without a port", name, r.Host)
 	}
-	if err := validateName("routes."+name+".service", r.Service); err != nil {
+	if err := validateServices(name, r); err != nil {
 		return err
 	}
+	if r.MaxRuns < 0 || r.MaxRuns > maxRuns {
+		return result.New(result.TicketInvalid, "routes.%s.maxRuns: %d lies outside 1 to %d", name, r.MaxRuns, maxRuns)
+	}
 	if r.TimeLimitMillis < 0 || r.TimeLimitMillis > maxTimeLimit {
 		return result.New(result.TicketInvalid, "routes.%s.timeLimitMillis: %d lies outside 1 to %d", name, r.TimeLimitMillis, maxTimeLimit)
 	}
@@ -109,6 +115,28 @@
 	return validateMethods(name, r.Repeatable)
 }
 
+// validateServices checks the service of a route, or those of its split.
+func validateServices(name string, r *Route) error {
+	if len(r.Split) == 0 {
+		return validateName("routes."+name+".service", r.Service)
+	}
+	sum := 0.0
+	for i, p := range r.Split {
+		field := fmt.Sprintf("routes.%s.split[%d]", name, i)
+		if err := validateName(field+".service", p.Service); err != nil {
+			return err
+		}
+		if math.IsNaN(p.Weight) || p.Weight < 0 || p.Weight > maxPartWeight {
+			return result.New(result.TicketInvalid, "%s.weight: %v lies outside 0 to %g", field, p.Weight, float64(maxPartWeight))
+		}
+		sum += p.Weight
+	}
+	if sum == 0 || r.Service != "" {
+		return result.New(result.TicketInvalid, "routes.%s: a split has a weight above 0 and no service beside it", name)
+	}
+	return nil
+}
+
 func validateMethods(name string, methods []string) error {
 	if len(methods) > maxMethods {
 		return result.New(result.TicketInvalid, "routes.%s.repeatable: %d methods, at most %d are allowed", name, len(methods), maxMethods)
--- a/ticket/world_test.go
+++ b/ticket/world_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"amaranthstile/platform"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 // fault is what happens to one call at the platform.
@@ -27,32 +27,32 @@
 // world is the platform with every state that it had, so that a read can be stale.
 type world struct {
 	t      *rapid.T
-	states []map[string]platform.Object // the last is the present one
-	last   platform.Version
+	states []map[string]store.Object // the last is the present one
+	last   store.Version
 	late   []func()
 	wrote  func(c *client, name string, value []byte)
 }
 
 func newWorld(t *rapid.T) *world {
-	return &world{t: t, states: []map[string]platform.Object{{}}}
+	return &world{t: t, states: []map[string]store.Object{{}}}
 }
 
-func (w *world) now() map[string]platform.Object { return w.states[len(w.states)-1] }
+func (w *world) now() map[string]store.Object { return w.states[len(w.states)-1] }
 
 // change writes or, with a nil value, deletes an object on its condition.
-func (w *world) change(c *client, name string, before platform.Version, value []byte) (platform.Version, error) {
+func (w *world) change(c *client, name string, before store.Version, value []byte) (store.Version, error) {
 	at, ok := w.now()[name]
 	if at.Version != before || (value == nil && !ok) {
 		return 0, result.New(result.PlatformConflict, "%s", name)
 	}
-	next := make(map[string]platform.Object, len(w.now())+1)
+	next := make(map[string]store.Object, len(w.now())+1)
 	for k, o := range w.now() {
 		next[k] = o
 	}
 	delete(next, name)
 	if value != nil {
 		w.last++
-		next[name] = platform.Object{Name: name, Version: w.last, Value: value}
+		next[name] = store.Object{Name: name, Version: w.last, Value: value}
 	}
 	w.states = append(w.states, next)
 	w.wrote(c, name, value)
@@ -84,7 +84,7 @@
 }
 
 // seen is the state that a read sees.
-func (c *client) seen() map[string]platform.Object {
+func (c *client) seen() map[string]store.Object {
 	w := c.world
 	if c.fault != stale {
 		return w.now()
@@ -93,9 +93,9 @@
 	return w.states[max(0, len(w.states)-1-back)]
 }
 
-func (c *client) Get(_ context.Context, name string) (platform.Object, error) {
+func (c *client) Get(_ context.Context, name string) (store.Object, error) {
 	if err := c.turn(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	o, ok := c.seen()[name]
 	if !ok {
@@ -104,30 +104,30 @@
 	return o, nil
 }
 
-func (c *client) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (c *client) List(_ context.Context, prefix string) ([]store.Object, error) {
 	if err := c.turn(); err != nil {
 		return nil, err
 	}
-	var out []platform.Object
+	var out []store.Object
 	for name, o := range c.seen() {
 		if strings.HasPrefix(name, prefix) {
-			out = append(out, platform.Object{Name: name, Version: o.Version})
+			out = append(out, store.Object{Name: name, Version: o.Version})
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b store.Object) int { return strings.Compare(a.Name, b.Name) })
 	return out, nil
 }
 
-func (c *client) Put(_ context.Context, name string, before platform.Version, value []byte) (platform.Version, error) {
+func (c *client) Put(_ context.Context, name string, before store.Version, value []byte) (store.Version, error) {
 	return c.write(name, before, append([]byte{}, value...))
 }
 
-func (c *client) Delete(_ context.Context, name string, before platform.Version) error {
+func (c *client) Delete(_ context.Context, name string, before store.Version) error {
 	_, err := c.write(name, before, nil)
 	return err
 }
 
-func (c *client) write(name string, before platform.Version, value []byte) (platform.Version, error) {
+func (c *client) write(name string, before store.Version, value []byte) (store.Version, error) {
 	if err := c.turn(); err != nil {
 		return 0, err
 	}
@@ -145,6 +145,6 @@
 }
 
 // Watch is used by no submission.
-func (c *client) Watch(ctx context.Context, name string, _ platform.Version) (platform.Object, error) {
+func (c *client) Watch(ctx context.Context, name string, _ store.Version) (store.Object, error) {
 	return c.Get(ctx, name)
 }
