Hand out overage and most of the slack of a rate; let a request with a body leave the exit's queue with its caller

The home now counts by the largest token bucket that keeps the window's bound, less two fifths of the slack for what is under way.

--- a/choice/placement.go
+++ b/choice/placement.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthstile/backend"
 	"amaranthstile/entry"
 	"amaranthstile/membership"
@@ -19,8 +21,20 @@
 	busyCost = 0.4
 	// warmingCost is what a cold start costs.
 	warmingCost = 0.5
-	// randomCost spreads the choices of instances that see the same.
-	randomCost = 0.3
+	// packCost is what each endpoint before this one in the common order of its failure domain costs. All instances of the
+	// domain prefer the same endpoints as long as these have room, so that each is proved many times a second, and few
+	// requests are the first to find that one has turned gray.
+	packCost = 0.2
+	// randomCost spreads the choices of instances that see the same, spreadCost those of requests that prove the endpoints
+	// which would get none.
+	randomCost = 0.05
+	spreadCost = 0.6
+	// spreadShare is the share of repeatable requests that prove other endpoints.
+	spreadShare = 0.3
+	// shedCost is what an endpoint costs for shedAge after its backend server refused a request: others come first, but it stays
+	// in use where all of them refuse now and then.
+	shedCost = 1.5
+	shedAge  = 400 * time.Millisecond
 	// loadAge is how long a reported load counts, about one usual request.
 	loadAge = 250 * time.Millisecond
 	// linkRest is how long an instance that could not be reached is left out at first; it doubles up to linkRestMost.
@@ -64,6 +78,7 @@
 	load     backend.Load
 	loadAt   time.Time
 	restTill time.Time
+	shedAt   time.Time
 	usedAt   time.Time
 }
 
@@ -87,6 +102,7 @@
 	var best membership.Candidate
 	var bestCost float64
 	found := false
+	spread := q.Repeatable && p.options.Rand() < spreadShare
 	for _, c := range q.Directory.Endpoints(q.Service) {
 		if c.Instance.Leaving || c.State == membership.Draining || tried(q.Tried, c) {
 			continue
@@ -95,6 +111,11 @@
 			continue
 		}
 		cost := p.cost(now, c)
+		if spread {
+			cost += spreadCost * p.options.Rand()
+		} else {
+			cost += packCost * rank(q.Directory, c)
+		}
 		if !found || cost < bestCost {
 			best, bestCost, found = c, cost, true
 		}
@@ -124,6 +145,18 @@
 	return e != nil && now.Before(e.restTill)
 }
 
+// rank is the endpoint's place from 0 in the common order of its service's endpoints of the same failure domain.
+func rank(d *membership.Directory, c membership.Candidate) float64 {
+	own := xxhash.Sum64String(c.Backend)
+	n := 0
+	for _, x := range d.Endpoints(c.Service) {
+		if x.Instance.Domain == c.Instance.Domain && xxhash.Sum64String(x.Backend) < own {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // cost is in usual requests.
 func (p *Placement) cost(now time.Time, c membership.Candidate) float64 {
 	cost := randomCost * p.options.Rand()
@@ -134,6 +167,9 @@
 			told := float64(e.load.Running+e.load.Waiting) * (1 - float64(age)/float64(loadAge))
 			busy = max(busy, told)
 		}
+		if now.Sub(e.shedAt) < shedAge {
+			cost += shedCost
+		}
 		cost += busyCost*busy/slots + max(busy+1-slots, 0)/slots*2
 	}
 	if c.Instance.Domain != p.options.Domain {
@@ -173,6 +209,8 @@
 		e.restTill = now.Add(result.RetryAfterOf(t.Err))
 	case result.BackendDraining, result.BackendUnknown, result.ShuttingDown:
 		e.restTill = now.Add(drainRest)
+	case result.BackendShed:
+		e.shedAt = now
 	case result.BackendBusy, result.QueueFull:
 		e.load, e.loadAt = backend.Load{Running: max(c.Slots, 1), Slots: c.Slots}, now
 	}
--- a/contract/pool.go
+++ b/contract/pool.go
@@ -18,6 +18,28 @@
 // the home before it.
 const newHomeLevel = 0.5
 
+// Window is the bound on what an account may get in any window of time: its rate and burst, more by the overage and the slack.
+type Window struct {
+	// Length is the length of the window.
+	Length time.Duration
+	// Overage is the share by which rate and burst may be exceeded.
+	Overage float64
+	// Slack is the number of requests beyond that.
+	Slack float64
+}
+
+// slackUsed is the share of the slack that a home hands out. The rest is for what instances spend before their home has told
+// them that the pool is low, and for those that can't reach it.
+const slackUsed = 0.6
+
+// Allowed returns the rate and burst of the largest token bucket that keeps the bound.
+func (w Window) Allowed(rate, burst float64) (r, b float64) {
+	if w.Length <= 0 {
+		return rate, burst
+	}
+	return rate*(1+w.Overage) + slackUsed*w.Slack/w.Length.Seconds(), burst * (1 + w.Overage)
+}
+
 // Set takes over the account's rate and burst in force.
 func (p *Pool) Set(now time.Time, rate, burst float64) {
 	if !p.started {
@@ -38,7 +60,7 @@
 // Spend notes what was spent already, grants what is asked as far as there are tokens, and tells how full the pool is.
 func (p *Pool) Spend(now time.Time, spent, asked int) PoolState {
 	p.refill(now)
-	p.level = max(p.level-float64(spent), -p.burst)
+	p.level = max(p.level-float64(spent), -p.burst-debtMost)
 	granted := min(asked, int(max(p.level, 0)))
 	p.level -= float64(granted)
 	s := PoolState{Granted: granted, Level: p.level / max(p.burst, 1)}
@@ -48,6 +70,9 @@
 	return s
 }
 
+// debtMost bounds how far beyond the burst a pool may go below zero, in requests.
+const debtMost = 50
+
 // PoolState is the answer of a home.
 type PoolState struct {
 	// Granted is how many of the asked requests may go.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -49,8 +49,10 @@
 	// Standing returns nil while the instance may act for client accounts on what it knows, and otherwise an error
 	// that carries NoStanding. It is asked right before each sending of a request that came with a key.
 	Standing func() error
-	// Once makes requests with an Idempotency-Key run at most once; nil passes such keys on like any other header.
+	// Once makes requests with an Idempotency-Key run at most once.
 	Once Once
+	// PassKeys passes Idempotency-Keys on like any other header; Once is not needed then.
+	PassKeys bool
 	// Refuse answers with an error of the fleet's own; default link.WriteRefusal.
 	Refuse func(w http.ResponseWriter, err error)
 	// CallerService returns the service beside which requests begin, for backend servers that ask for it; default none.
@@ -95,7 +97,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if h.options.Once != nil && r.URL.Path == once.PathPrefix {
+	if !h.options.PassKeys && r.URL.Path == once.PathPrefix {
 		h.servePrefix(w, r)
 		return
 	}
@@ -103,7 +105,7 @@
 	if err == nil {
 		err = t.readBody(w, r)
 	}
-	if err == nil && h.options.Once != nil {
+	if err == nil && !h.options.PassKeys {
 		err = t.takeKey()
 	}
 	if err != nil {
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -118,6 +118,7 @@
 	result.AnswerTooLarge:      "never answered: such an answer is told as aborted",
 	result.WitnessesMissing:    "to operators",
 	result.WitnessGone:         "between instances",
+	result.BackendShed:         "told by dialects that have a sign for it: TestShedRequestGoesElsewhere in sidecar",
 	result.AnnounceInvalid:     "to backend servers",
 	result.LeaseUnknown:        "to backend servers",
 	result.IdentityDraining:    "to backend servers",
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -6,6 +6,7 @@
 package exit
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -69,6 +70,10 @@
 		refuse(w, r, result.WithRun(err, result.NotRun))
 		return
 	}
+	if err := holdBody(r); err != nil {
+		refuse(w, r, result.WithRun(err, result.NotRun))
+		return
+	}
 	arrived := time.Now()
 	release, err := u.Gate.Acquire(ctx, claim(r))
 	if err != nil {
@@ -88,6 +93,23 @@
 	h.handOver(ctx, w, r, u)
 }
 
+// heldBody is the size in bytes up to which a body is read before its request waits for a slot.
+const heldBody = 64 << 10
+
+// holdBody reads a short body whole. The server sees the entry side leave only once the body was read, and a request whose
+// caller has left must not wait on for a slot. A longer body waits until it is asked for.
+func holdBody(r *http.Request) error {
+	if r.ContentLength <= 0 || r.ContentLength > heldBody || r.Header.Get("Expect") != "" {
+		return nil
+	}
+	body := make([]byte, r.ContentLength)
+	if err := link.ReadWhole(r.Body, body); err != nil {
+		return result.Wrap(result.RequestInvalid, err, "the request's body broke off")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // mayRun tells whether a request that got its slot may still be handed over.
 func (h *Handler) mayRun(r *http.Request, waited time.Duration) error {
 	if _, err := h.unit(r); err != nil {
--- /dev/null
+++ b/exit/leave_test.go
@@ -0,0 +1,65 @@
+package exit_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthstile/backend"
+	"amaranthstile/exit"
+	"amaranthstile/link"
+	"amaranthstile/result"
+)
+
+// patientGate waits until its context ends or a time has passed.
+type patientGate struct {
+	slowGate
+	gaveUp atomic.Bool
+}
+
+// Acquire implements backend.Gate.
+func (g *patientGate) Acquire(ctx context.Context, _ backend.Claim) (func(), error) {
+	select {
+	case <-ctx.Done():
+		g.gaveUp.Store(true)
+		return nil, result.New(result.BackendBusy, "left")
+	case <-time.After(g.wait):
+		return func() {}, nil
+	}
+}
+
+// TestRequestWithABodyLeavesTheQueueWithItsCaller lets the entry side leave while its request waits for a slot: the request
+// must not reach the backend server afterwards.
+func TestRequestWithABodyLeavesTheQueueWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	defer server.Close()
+	gate := &patientGate{slowGate: slowGate{wait: time.Second}}
+	unit := &backend.Unit{
+		Announcement: backend.Announcement{ID: "b", Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		Gate:         gate,
+		Transport:    link.NewTransport(1, time.Minute),
+	}
+	defer unit.Transport.CloseIdleConnections()
+	side := httptest.NewServer(exit.New(exit.Options{Units: func() backend.Set { return backend.Set{"b": unit} }}))
+	defer side.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, side.URL, strings.NewReader("a body"))
+	is.NoErr(err)
+	r.Header.Set(link.HeaderBackend, "b")
+	r.Header.Set(link.HeaderExchange, "x")
+	_, err = http.DefaultClient.Do(r)
+	is.True(err != nil) // the caller left
+	time.Sleep(gate.wait + 200*time.Millisecond)
+	is.True(gate.gaveUp.Load())
+	is.Equal(runs.Load(), int32(0))
+}
--- a/link/forward.go
+++ b/link/forward.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	dialTimeout     = time.Second
+	// dialTimeout is several round trips between regions (70 ms); a request whose connection takes longer goes elsewhere
+	// while there is time.
+	dialTimeout     = 250 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 	// IdleTimeout is how long the exit side keeps an idle connection: longer than the entry side, so that
 	// the exit side does not close a connection just as a request is sent on it.
--- a/sidecar/allotments.go
+++ b/sidecar/allotments.go
@@ -150,6 +150,12 @@
 	return nil
 }
 
+// window is the bound on what an account gets.
+func (a *allotments) window() contract.Window {
+	b := a.instance.options.Settings.Bounds
+	return contract.Window{Length: b.QuotaWindow, Overage: b.QuotaOverage, Slack: b.QuotaSlack}
+}
+
 // share is this instance's part of an account while its home can't be reached.
 func (a *allotments) share(account *contract.Account) contract.PurseShare {
 	n := float64(max(len(a.instance.members.Directory().Records()), 1))
@@ -280,12 +286,13 @@
 		if !ok {
 			continue
 		}
+		rate, burst := a.window().Allowed(account.Rate, float64(account.Burst))
 		p := a.pools[name]
 		if p == nil {
 			p = &contract.Pool{}
 			a.pools[name] = p
 		}
-		p.Set(now, account.Rate, float64(account.Burst))
+		p.Set(now, rate, burst)
 		out.Accounts[name] = p.Spend(now, u.Spent, u.Asked)
 	}
 	return out
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -189,6 +189,7 @@
 		Refuse:        i.options.Refuse,
 		CallerService: func() string { return *i.service.Load() },
 		Decided:       i.decided,
+		PassKeys:      true,
 	})
 	exitSide := exit.New(exit.Options{
 		Units:    i.slot.units,
@@ -255,3 +256,6 @@
 	i.service.Store(&s.Service)
 	i.options.Events.Log(event.SettingsReloaded, event.F("service", s.Service))
 }
+
+// Endpoints returns how many endpoints of a service this instance knows.
+func (i *Instance) Endpoints(service string) int { return len(i.members.Directory().Endpoints(service)) }
--- a/sidecar/world_test.go
+++ b/sidecar/world_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"amaranthstile/backend"
 	"amaranthstile/event"
 	"amaranthstile/exit"
 	"amaranthstile/link"
@@ -166,8 +167,18 @@
 	return b.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// echoDialect is the product's own dialect without the check of echoes.
-type echoDialect struct{ exit.Own }
+// headerNotRun is the sign by which a backend server of these tests says that it did not run a request.
+const headerNotRun = "Test-Not-Run"
+
+// testDialect is the product's own dialect with a sign for requests that were not run.
+type testDialect struct{ exit.Own }
+
+// Answer implements exit.Dialect.
+func (d testDialect) Answer(resp *http.Response, r *http.Request, u *backend.Unit) exit.Facts {
+	facts := d.Own.Answer(resp, r, u)
+	facts.NotRun = resp.Header.Get(headerNotRun) != ""
+	return facts
+}
 
 // freePort returns an address that was free a moment ago in TCP and UDP.
 func freePort(t *testing.T) netip.AddrPort {
@@ -207,7 +218,7 @@
 		Callers:   func(next http.Handler) http.Handler { return next },
 		Refuse:    link.WriteRefusal,
 		RequestID: func(r *http.Request) string { return r.Header.Get("Request-Id") },
-		Backends:  echoDialect{},
+		Backends:  testDialect{},
 		Reports: func(to sidecar.Reporter) http.Handler {
 			out.reporter = to
 			return http.NotFoundHandler()
