--- a/backend/admission/gate.go
+++ b/backend/admission/gate.go
@@ -13,6 +13,7 @@
 type Gate struct {
 	mu         sync.Mutex
 	controller *Controller // guarded by mu
+	callFailed time.Time   // when a call of the backend server last failed; guarded by mu
 	// rested is told when the backend server goes to rest.
 	rested func(time.Duration, backend.Outcome)
 }
@@ -25,6 +26,13 @@
 	return &Gate{controller: NewController(slots, bound), rested: rested}
 }
 
+// CallFailed notes that a call which the backend server made has failed: errors of what it ran meanwhile are not its own.
+func (g *Gate) CallFailed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.callFailed = now
+}
+
 // Load implements backend.Gate.
 func (g *Gate) Load() backend.Load {
 	g.mu.Lock()
@@ -97,11 +105,14 @@
 }
 
 // Begin implements backend.Observer.
-func (g *Gate) Begin(_ string, now time.Time) backend.Exchange { return &exchange{gate: g, began: now} }
+func (g *Gate) Begin(_, route string, now time.Time) backend.Exchange {
+	return &exchange{gate: g, route: route, began: now}
+}
 
 // exchange is one request at the backend server.
 type exchange struct {
 	gate  *Gate
+	route string
 	began time.Time
 }
 
@@ -115,8 +126,11 @@
 func (e *exchange) End(now time.Time, o backend.Outcome) {
 	g := e.gate
 	g.mu.Lock()
+	if o == backend.OutcomeError && !g.callFailed.Before(e.began) {
+		o = backend.OutcomeCancelled // the backend server failed for want of another's answer
+	}
 	before := g.controller.Resting(now)
-	tell(g.controller.Observe(now, o, now.Sub(e.began)))
+	tell(g.controller.Observe(now, o, e.route, now.Sub(e.began)))
 	rest := g.controller.Resting(now)
 	g.mu.Unlock()
 	if before == 0 && rest > 0 {
--- a/backend/outcome.go
+++ b/backend/outcome.go
@@ -29,8 +29,8 @@
 
 // Observer watches the exchanges with the backend servers of an instance.
 type Observer interface {
-	// Begin notes that a request is handed to the backend server, and returns its exchange.
-	Begin(backend string, now time.Time) Exchange
+	// Begin notes that a request of a route is handed to the backend server, and returns its exchange.
+	Begin(backend, route string, now time.Time) Exchange
 }
 
 // Exchange is one request at a backend server.
@@ -47,7 +47,7 @@
 type NoObserver struct{}
 
 // Begin implements Observer.
-func (NoObserver) Begin(string, time.Time) Exchange { return noExchange{} }
+func (NoObserver) Begin(string, string, time.Time) Exchange { return noExchange{} }
 
 type noExchange struct{}
 
--- a/backend/slots.go
+++ b/backend/slots.go
@@ -22,6 +22,12 @@
 	Repeatable bool
 	// Repeat says that an earlier try of the request has reached a backend server.
 	Repeat bool
+	// Route names the route, by which the usual time is known.
+	Route string
+	// Due is until when an answer is worth most; zero where that does not matter.
+	Due time.Time
+	// Call says that a backend server waits for the answer, which holds a slot meanwhile.
+	Call bool
 	// LastResort says that no other endpoint takes the request.
 	LastResort bool
 }
--- a/choice/placement.go
+++ b/choice/placement.go
@@ -15,7 +15,7 @@
 const (
 	// otherDomainCost is what an endpoint of another failure domain costs beside a near one, in usual requests: a small part,
 	// so that load goes elsewhere as soon as it would wait here.
-	otherDomainCost = 0.6
+	otherDomainCost = 0.8
 	// busyCost is what each taken share of an endpoint's slots costs: of two endpoints with a free slot, the idler one is
 	// taken, which also spreads requests.
 	busyCost = 0.4
@@ -24,11 +24,11 @@
 	// packCost is what each endpoint before this one in the common order of its failure domain costs. All instances of the
 	// domain prefer the same endpoints as long as these have room, so that each is proved many times a second, and few
 	// requests are the first to find that one has turned gray.
-	packCost = 0.2
+	packCost = 0.12
 	// randomCost spreads the choices of instances that see the same, spreadCost those of requests that prove the endpoints
 	// which would get none.
 	randomCost = 0.05
-	spreadCost = 0.6
+	spreadCost = 0.5
 	// spreadShare is the share of repeatable requests that prove other endpoints.
 	spreadShare = 0.3
 	// shedCost is what an endpoint costs for shedAge after its backend server refused a request: others come first, but it stays
--- a/entry/sending.go
+++ b/entry/sending.go
@@ -11,6 +11,9 @@
 const (
 	// maxSends bounds how often one request is sent over a link, tries that were not run included.
 	maxSends = 16
+	// maxWaits bounds how many endpoints one request waits at: where two are too crowded, so are the others, and each more
+	// costs a way there.
+	maxWaits = 2
 )
 
 // sending is the sending of one request until an answer is there or nothing more may be tried.
@@ -26,6 +29,7 @@
 	results chan *attempt
 	running map[*attempt]struct{}
 	sends   int
+	waits   int // tries that waited for a slot and got none
 	loads   int // tries that may have reached a backend server, those running included
 	spent   bool
 	spare   *attempt // a whole answer that says that another endpoint might do better
@@ -107,14 +111,20 @@
 	if !a.wait && result.Is(a.err, result.BackendBusy) {
 		s.t.noteBusy(a.to)
 	}
-	if s.mayGoElsewhere(a.err) && s.start() {
+	if s.mayGoElsewhere(a) && s.start() {
 		s.handler.counts.elsewhere.Add(1)
 	}
 	return false
 }
 
 // mayGoElsewhere tells whether a request that was not run may be sent to another endpoint.
-func (s *sending) mayGoElsewhere(err error) bool {
+func (s *sending) mayGoElsewhere(a *attempt) bool {
+	err := a.err
+	if a.wait {
+		if s.waits++; s.waits >= maxWaits {
+			return false
+		}
+	}
 	switch result.CodeOf(err) {
 	case result.NoStanding, result.KeyRejected, result.KeyMissing, result.RetryBudgetSpent:
 		return false
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -138,6 +138,13 @@
 	if p := t.priority(); p > 0 {
 		h.Set(link.HeaderPriority, strconv.Itoa(p))
 	}
+	h.Set(link.HeaderRoute, t.route.Name)
+	if t.route.Target > 0 {
+		h.Set(link.HeaderTarget, strconv.FormatInt((t.route.Target-time.Since(t.arrived)).Milliseconds(), 10))
+	}
+	if t.account == nil {
+		h.Set(link.HeaderCall, "1")
+	}
 	if t.callerService != "" {
 		h.Set(link.HeaderCallerService, t.callerService)
 	}
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -151,7 +151,7 @@
 func claim(r *http.Request) backend.Claim {
 	weight, _ := strconv.Atoi(r.Header.Get(link.HeaderWeight))
 	priority, _ := strconv.Atoi(r.Header.Get(link.HeaderPriority))
-	return backend.Claim{
+	c := backend.Claim{
 		Account:    r.Header.Get(link.HeaderAccount),
 		Weight:     max(weight, 1),
 		NoWait:     r.Header.Get(link.HeaderNoWait) != "",
@@ -159,7 +159,13 @@
 		Repeatable: r.Header.Get(link.HeaderRepeatable) != "",
 		Repeat:     r.Header.Get(link.HeaderRepeat) != "",
 		LastResort: r.Header.Get(link.HeaderLastResort) != "",
+		Route:      r.Header.Get(link.HeaderRoute),
+		Call:       r.Header.Get(link.HeaderCall) != "",
 	}
+	if ms, err := strconv.Atoi(r.Header.Get(link.HeaderTarget)); err == nil {
+		c.Due = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	return c
 }
 
 // setLoad tells the entry side the backend server's present load.
@@ -169,7 +175,7 @@
 
 // handOver sends the request to the backend server and passes the answer on.
 func (h *Handler) handOver(ctx context.Context, w http.ResponseWriter, r *http.Request, u *backend.Unit) {
-	observed := h.options.Observer.Begin(u.ID, time.Now())
+	observed := h.options.Observer.Begin(u.ID, r.Header.Get(link.HeaderRoute), time.Now())
 	outcome := backend.OutcomeAborted
 	defer func() { observed.End(time.Now(), outcome) }()
 	out := outgoing(ctx, r, u)
--- a/exit/leave_test.go
+++ b/exit/leave_test.go
@@ -63,3 +63,25 @@
 	is.True(gate.gaveUp.Load())
 	is.Equal(runs.Load(), int32(0))
 }
+
+// TestShortBrokenBodyIsNotHandedOver breaks a short body off on the entry's side.
+func TestShortBrokenBodyIsNotHandedOver(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	defer server.Close()
+	unit := &backend.Unit{
+		Announcement: backend.Announcement{ID: "b", Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		Gate:         slowGate{},
+		Transport:    link.NewTransport(1, time.Minute),
+	}
+	defer unit.Transport.CloseIdleConnections()
+	r := httptest.NewRequest(http.MethodPost, "/", brokenBody{strings.NewReader("part")})
+	r.ContentLength = 100
+	r.Header.Set(link.HeaderBackend, "b")
+	r.Header.Set(link.HeaderExchange, "x")
+	w := httptest.NewRecorder()
+	exit.New(exit.Options{Units: func() backend.Set { return backend.Set{"b": unit} }}).ServeHTTP(w, r)
+	is.Equal(w.Header().Get(link.HeaderRun), string(result.NotRun))
+	is.Equal(runs.Load(), int32(0))
+}
--- a/instance/judge.go
+++ b/instance/judge.go
@@ -29,12 +29,12 @@
 }
 
 // Begin implements backend.Observer.
-func (j *judge) Begin(id string, now time.Time) backend.Exchange {
+func (j *judge) Begin(id, _ string, now time.Time) backend.Exchange {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	d, ok := j.board.Detector(id)
 	if !ok {
-		return backend.NoObserver{}.Begin(id, now)
+		return backend.NoObserver{}.Begin(id, "", now)
 	}
 	return &watched{judge: j, backend: id, detector: d, flight: d.Begin(now)}
 }
--- a/link/header.go
+++ b/link/header.go
@@ -45,7 +45,12 @@
 	// HeaderPriority, HeaderRepeat, HeaderLastResort and HeaderCallerService go from the entry side to the exit side: the
 	// rank of a waiting request, whether an earlier try has reached a backend server, whether no other endpoint takes
 	// the request, and the service beside which the request began.
-	HeaderPriority      = "Amaranth-Priority"
+	HeaderPriority = "Amaranth-Priority"
+	// HeaderRoute names the route, HeaderTarget is the milliseconds until which an answer is worth most, HeaderCall says that
+	// a backend server waits for the answer.
+	HeaderRoute         = "Amaranth-Route"
+	HeaderTarget        = "Amaranth-Target-Ms"
+	HeaderCall          = "Amaranth-Call"
 	HeaderRepeat        = "Amaranth-Repeat"
 	HeaderLastResort    = "Amaranth-Last-Resort"
 	HeaderCallerService = "Amaranth-Caller-Service"
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -223,6 +223,9 @@
 
 // decided logs what the entry side decided on a request.
 func (i *Instance) decided(d entry.Decision) {
+	if d.Account == "" && (d.Err != nil || d.Status >= http.StatusInternalServerError) {
+		i.slot.callFailed(time.Now()) // requests without a key are calls of the backend server
+	}
 	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
 }
 
@@ -258,4 +261,6 @@
 }
 
 // Endpoints returns how many endpoints of a service this instance knows.
-func (i *Instance) Endpoints(service string) int { return len(i.members.Directory().Endpoints(service)) }
+func (i *Instance) Endpoints(service string) int {
+	return len(i.members.Directory().Endpoints(service))
+}
--- a/sidecar/slot.go
+++ b/sidecar/slot.go
@@ -105,13 +105,22 @@
 func (s *slot) units() backend.Set { return *s.set.Load() }
 
 // Begin implements backend.Observer.
-func (s *slot) Begin(id string, now time.Time) backend.Exchange {
+func (s *slot) Begin(id, route string, now time.Time) backend.Exchange {
 	if u, ok := s.units()[id]; ok {
 		if g, ok := u.Gate.(*admission.Gate); ok {
-			return g.Begin(id, now)
+			return g.Begin(id, route, now)
+		}
+	}
+	return backend.NoObserver{}.Begin(id, route, now)
+}
+
+// callFailed notes that a call of the backend server has failed.
+func (s *slot) callFailed(now time.Time) {
+	for _, u := range s.units() {
+		if g, ok := u.Gate.(*admission.Gate); ok {
+			g.CallFailed(now)
 		}
 	}
-	return backend.NoObserver{}.Begin(id, now)
 }
 
 // Report takes over what the backend server says of itself. When it returns, nothing new is sent to one that drains.
