--- /dev/null
+++ b/event/bound_test.go
@@ -0,0 +1,41 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLinesOnRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := New(&out, "i", "info")
+	now := time.Unix(1000, 0)
+	l.now = func() time.Time { return now }
+	for range 3 * linesPerSecond {
+		l.Log(RequestAnswered)
+	}
+	l.Log(BackendRests) // lines that are not on requests are always written
+	is.Equal(strings.Count(out.String(), `"event":4003`), linesPerSecond)
+	is.Equal(strings.Count(out.String(), `"event":5106`), 1)
+	now = now.Add(time.Second)
+	l.Log(RequestAnswered)
+	is.Equal(strings.Count(out.String(), `"event":1103,"dropped":400`), 1)
+}
+
+func BenchmarkLine(b *testing.B) {
+	l := New(new(discard), "i", "info")
+	now := time.Unix(1000, 0)
+	l.now = func() time.Time { now = now.Add(time.Second); return now }
+	for range b.N {
+		l.Log(RequestAnswered, F("request", "94b53abbddbdb15a"), F("route", "r-vs4xq6v"), F("service", "nony32c"), F("account", "bacu751"),
+			F("version", uint64(9)), F("took_ms", int64(8)), F("sends", 1), F("backend", "i-94b53abbdd"), F("status", 200))
+	}
+}
+
+type discard struct{}
+
+func (*discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/event/event.go
+++ b/event/event.go
@@ -7,6 +7,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/phuslu/log"
 )
@@ -169,7 +170,9 @@
 
 // Logger writes numbered events. The zero value is not usable; make one with New.
 type Logger struct {
-	log *log.Logger
+	log   *log.Logger
+	bound bound
+	now   func() time.Time
 }
 
 // New returns a logger that writes JSON lines to w, with the instance's name in each line,
@@ -181,7 +184,24 @@
 		Context:    log.NewContext(nil).Str("instance", instance).Value(),
 		Writer:     log.IOWriter{Writer: w},
 	}
-	return &Logger{log: l}
+	return &Logger{log: l, now: time.Now}
+}
+
+// pendingLines bounds the lines that wait to be written; more are dropped, so that a reader that stops holds nobody up.
+const pendingLines = 4096
+
+// NewAsync returns a logger like New whose lines are written by a goroutine of its own.
+func NewAsync(w io.Writer, instance, level string) *Logger {
+	l := New(w, instance, level)
+	l.log.Writer = &log.AsyncWriter{ChannelSize: pendingLines, DiscardOnFull: true, Writer: log.IOWriter{Writer: w}}
+	return l
+}
+
+// Close writes what waits to be written.
+func (l *Logger) Close() {
+	if w, ok := l.log.Writer.(io.Closer); ok {
+		_ = w.Close()
+	}
 }
 
 // Discard returns a logger that writes nothing.
@@ -203,6 +223,15 @@
 	if e == nil {
 		return
 	}
+	if id.ofRequest() {
+		ok, dropped := l.bound.take(l.now())
+		if dropped > 0 {
+			l.Log(LogDropped, F("dropped", dropped))
+		}
+		if !ok {
+			return
+		}
+	}
 	e.Int("event", int(id))
 	for _, f := range fields {
 		e.Any(f.Name, f.Value)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,8 +5,8 @@
 	"time"
 
 	backendstandin "amaranthstile/backend/standin"
-	"amaranthstile/store/standin"
 	"amaranthstile/result"
+	"amaranthstile/store/standin"
 	"amaranthstile/ticket"
 )
 
--- a/store/http.go
+++ b/store/http.go
@@ -17,7 +17,7 @@
 	"amaranthstile/result"
 )
 
-// The platform's HTTP protocol; docs/PLATFORM.md describes it.
+// The platform's HTTP protocol; docs/STORE.md describes it.
 const (
 	// ObjectPath precedes an object's name in the URL.
 	ObjectPath = "/v1/objects/"
