Spread where requests fail, find forgotten connections before they may run, and count rates around a harmed way

An instance now spreads all requests of a service while more than an eighth of its own are not served. The end of its head is held back for 0.4 ms; what breaks until then is not run, and goes out again on a new connection or elsewhere. Tried first with the last byte of the body held back: a server may begin at the end of the head, so that would not have been true. An instance that can't reach a home now asks through another. Until the first configuration only watchers poll the store.

--- a/choice/placement.go
+++ b/choice/placement.go
@@ -31,6 +31,11 @@
 	spreadCost = 0.5
 	// spreadShare is the share of repeatable requests that prove other endpoints.
 	spreadShare = 0.3
+	// unservedWeight is the weight of one request in a service's share of requests that were not served, and spreadAbove the
+	// share from which this instance spreads all requests of the service: where a part of the endpoints fails its callers, the
+	// others must not stand idle.
+	unservedWeight = 0.15
+	spreadAbove    = 0.12
 	// shedCost is what an endpoint costs for shedAge after its backend server refused a request: others come first, but it stays
 	// in use where all of them refuse now and then.
 	shedCost = 1.5
@@ -64,6 +69,7 @@
 	mu        sync.Mutex
 	endpoints map[endpointKey]*placed // guarded by mu
 	links     map[membership.ID]*reach
+	unserved  map[string]float64 // share of requests, by service
 	swept     time.Time
 }
 
@@ -90,7 +96,7 @@
 
 // NewPlacement returns a Placement that knows nothing.
 func NewPlacement(o PlacementOptions) *Placement {
-	return &Placement{options: o, endpoints: make(map[endpointKey]*placed), links: make(map[membership.ID]*reach)}
+	return &Placement{options: o, endpoints: make(map[endpointKey]*placed), links: make(map[membership.ID]*reach), unserved: make(map[string]float64)}
 }
 
 // Select implements entry.Selector.
@@ -102,7 +108,7 @@
 	var best membership.Candidate
 	var bestCost float64
 	found := false
-	spread := q.Repeatable && p.options.Rand() < spreadShare
+	spread := p.unserved[q.Service] > spreadAbove || q.Repeatable && p.options.Rand() < spreadShare
 	for _, c := range q.Directory.Endpoints(q.Service) {
 		if c.Instance.Leaving || c.State == membership.Draining || tried(q.Tried, c) {
 			continue
@@ -191,6 +197,17 @@
 	return e
 }
 
+// Ended notes whether a request of a service was served in the end.
+func (p *Placement) Ended(service string, served bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.unserved[service] * (1 - unservedWeight)
+	if !served {
+		u += unservedWeight
+	}
+	p.unserved[service] = u
+}
+
 // Done implements entry.Selector.
 func (p *Placement) Done(c membership.Candidate, t entry.Trial) {
 	now := p.options.Now()
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -106,10 +106,24 @@
 	if err := link.ReadWhole(r.Body, body); err != nil {
 		return result.Wrap(result.RequestInvalid, err, "the request's body broke off")
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.Body = newHeldReader(body)
 	return nil
 }
 
+// heldReader is a body that was read whole.
+type heldReader struct {
+	*bytes.Reader
+	body []byte
+}
+
+func newHeldReader(body []byte) *heldReader { return &heldReader{bytes.NewReader(body), body} }
+
+// Close implements io.Closer.
+func (*heldReader) Close() error { return nil }
+
+// again returns the body once more.
+func (h *heldReader) again() (io.ReadCloser, error) { return newHeldReader(h.body), nil }
+
 // mayRun tells whether a request that got its slot may still be handed over.
 func (h *Handler) mayRun(r *http.Request, waited time.Duration) error {
 	if _, err := h.unit(r); err != nil {
@@ -181,7 +195,11 @@
 	out := outgoing(ctx, r, u)
 	h.options.Dialect.Request(out.Header, u)
 	body := watchBody(out, observed)
-	e, wrote, err := link.SendOnce(ctx, u.Transport, out)
+	sending := ctx
+	if r.Header.Get(link.HeaderRepeatable) == "" {
+		sending = link.WithHeadHeldBack(ctx)
+	}
+	e, wrote, err := link.SendOnce(sending, u.Transport, out)
 	setLoad(w, u)
 	if err != nil {
 		outcome = failed(ctx, wrote, body)
--- a/exit/outgoing.go
+++ b/exit/outgoing.go
@@ -36,6 +36,9 @@
 		Body:          r.Body,
 		ContentLength: r.ContentLength,
 	}
+	if held, ok := r.Body.(*heldReader); ok {
+		out.GetBody = held.again
+	}
 	link.CopyEndToEnd(out.Header, r.Header)
 	delete(out.Header, "Authorization")
 	delete(out.Header, "Expect")
--- a/link/conn.go
+++ b/link/conn.go
@@ -1,10 +1,13 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // trackedConn is a client connection that counts what was written and that one exchange at a time holds.
@@ -16,8 +19,20 @@
 	net.Conn
 	held sync.Mutex
 
-	mu      sync.Mutex // held over each write
-	written int64      // bytes
+	mu       sync.Mutex // held over each write
+	written  int64      // bytes
+	holds    bool       // the end of the next request's head is held back for a moment
+	withheld bool       // it was not sent
+	closed   atomic.Bool
+}
+
+// holdBack is how long the end of a request's head is held back: a few round trips to a backend server beside the instance.
+const holdBack = 400 * time.Microsecond
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
 }
 
 // dialTracked wraps the connections of a network.
@@ -46,16 +61,42 @@
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	end := bytes.Index(p, endOfHead)
+	if !c.holds || end < 0 {
+		n, err := c.Conn.Write(p)
+		c.written += int64(n)
+		return n, err
+	}
+	return c.writeHeldBack(p, end+len(endOfHead)-1)
+}
+
+// endOfHead ends the head of a request.
+var endOfHead = []byte("\r\n\r\n")
+
+// writeHeldBack writes what comes before last, and the rest a moment later unless the connection has broken meanwhile: a
+// server that can't see the end of a request's head has not run it. The caller holds the lock.
+func (c *trackedConn) writeHeldBack(p []byte, last int) (int, error) {
+	c.holds, c.withheld = false, true
+	n, err := c.Conn.Write(p[:last])
 	c.written += int64(n)
-	return n, err
+	if err != nil {
+		return n, err
+	}
+	time.Sleep(holdBack)
+	if c.closed.Load() {
+		return n, net.ErrClosed
+	}
+	c.withheld = false
+	m, err := c.Conn.Write(p[last:])
+	c.written += int64(m)
+	return n + m, err
 }
 
-// count returns the bytes written so far.
-func (c *trackedConn) count() int64 {
+// sent tells whether the whole of what was written since from may have arrived.
+func (c *trackedConn) sent(from int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.written
+	return c.written != from && !c.withheld
 }
 
 // hold is one exchange's hold of a connection.
@@ -65,10 +106,13 @@
 	once sync.Once
 }
 
-// acquire waits until no other exchange holds the connection.
-func (c *trackedConn) acquire() *hold {
+// acquire waits until no other exchange holds the connection; with holds, the end of the head is held back.
+func (c *trackedConn) acquire(holds bool) *hold {
 	c.held.Lock()
-	return &hold{conn: c, from: c.count()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holds, c.withheld = holds, false
+	return &hold{conn: c, from: c.written}
 }
 
 // release lets the next exchange use the connection.
@@ -84,11 +128,11 @@
 	})
 }
 
-// abort closes the connection and tells whether the exchange wrote anything on it. A write under way
+// abort closes the connection and tells whether the other side may have got the exchange's request. A write under way
 // ends by the closing, and none can follow, so the answer stays true.
 func (h *hold) abort() (wrote bool) {
 	_ = h.conn.Close()
-	wrote = h.conn.count() != h.from
+	wrote = h.conn.sent(h.from)
 	h.discard()
 	return wrote
 }
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -22,6 +22,7 @@
 
 // tracker follows the connection of one exchange.
 type tracker struct {
+	holds bool        // the end of the request's head is held back
 	wrote atomic.Bool // the whole request was written
 	early atomic.Bool // the answer came before the request was written
 
@@ -57,7 +58,7 @@
 	if t.hold != nil && t.hold.abort() {
 		t.touched = true
 	}
-	t.hold = c.acquire()
+	t.hold = c.acquire(t.holds)
 	t.reused = info.Reused
 	t.attempts++
 	if t.touched {
@@ -140,6 +141,15 @@
 	return b.ReadCloser.Close()
 }
 
+type heldBack struct{}
+
+// WithHeadHeldBack lets SendOnce hold the end of a request's head back for a moment. A connection that turns out broken
+// until then, as one that the other side has forgotten, or one of a server that resets what it gets, shows that the request was
+// not run.
+func WithHeadHeldBack(ctx context.Context) context.Context {
+	return context.WithValue(ctx, heldBack{}, true)
+}
+
 // maxStale bounds how many connections that turned out closed before a byte was written are replaced.
 const maxStale = 3
 
@@ -152,17 +162,23 @@
 func SendOnce(ctx context.Context, t *http.Transport, req *http.Request) (e *Exchange, wrote bool, err error) {
 	hideIdempotency(req.Header)
 	empty := req.Body == nil || req.Body == http.NoBody
+	again := req.GetBody
 	if replayable(req.Method) {
 		req.GetBody = nil
 	}
-	for range maxStale {
-		if empty {
+	for n := range maxStale {
+		switch {
+		case empty:
 			req.Body = emptyFor(req.Method)
 			req.ContentLength = 0
+		case n > 0:
+			if req.Body, err = again(); err != nil {
+				return nil, false, err
+			}
 		}
 		var reused bool
 		e, wrote, reused, err = send(ctx, t, req)
-		if err == nil || wrote || !reused || !empty || ctx.Err() != nil {
+		if err == nil || wrote || !reused || !empty && again == nil || ctx.Err() != nil {
 			break
 		}
 	}
@@ -171,7 +187,7 @@
 
 // send makes one round trip.
 func send(ctx context.Context, t *http.Transport, req *http.Request) (e *Exchange, wrote, reused bool, err error) {
-	track := &tracker{}
+	track := &tracker{holds: ctx.Value(heldBack{}) != nil}
 	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, track.trace())))
 	if err != nil {
 		wrote = track.failed()
--- a/link/forward.go
+++ b/link/forward.go
@@ -22,6 +22,8 @@
 	BackendIdleTimeout = 3 * time.Second
 	maxIdlePerTo       = 64
 	maxAnswerHeader    = 64 << 10 // bytes
+	// writeBuffer holds most requests whole, so that each is one write.
+	writeBuffer = 32 << 10 // bytes
 )
 
 // Forwarder sends requests to other instances.
@@ -49,6 +51,7 @@
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeader,
+		WriteBufferSize:        writeBuffer,
 		TLSHandshakeTimeout:    dialTimeout,
 		ExpectContinueTimeout:  time.Hour, // a body waits until the other side asks for it
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
--- a/sidecar/allotments.go
+++ b/sidecar/allotments.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -34,6 +35,9 @@
 
 // usageCall is what an instance tells a home, by account.
 type usageCall struct {
+	// Home is whose count it is; another instance passes the call on, once.
+	Home     membership.ID    `json:"home"`
+	Relayed  bool             `json:"relayed,omitempty"`
 	Accounts map[string]usage `json:"accounts"`
 }
 
@@ -59,7 +63,8 @@
 // home is what waits to be told to one home.
 type home struct {
 	id      membership.ID
-	restTo  time.Time
+	restTo  time.Time   // until when it is asked through other instances; guarded by allotments.mu
+	lostTo  time.Time   // until when nothing reached it; guarded by allotments.mu
 	waiting []*spending // guarded by allotments.mu
 	calling bool        // guarded by allotments.mu
 }
@@ -104,7 +109,7 @@
 	a.mu.Lock()
 	h := a.home(id)
 	p := a.purse(account.Name)
-	verdict, after := p.Admit(now, now.After(h.restTo), a.share(account))
+	verdict, after := p.Admit(now, now.After(h.lostTo), a.share(account))
 	var s *spending
 	switch verdict {
 	case contract.SpendNow:
@@ -207,7 +212,7 @@
 			return
 		}
 		a.mu.Unlock()
-		call := usageCall{Accounts: make(map[string]usage)}
+		call := usageCall{Home: h.id, Accounts: make(map[string]usage)}
 		for _, s := range batch {
 			u := call.Accounts[s.account]
 			if s.answer == nil {
@@ -217,18 +222,58 @@
 			}
 			call.Accounts[s.account] = u
 		}
-		answer, err := a.send(h.id, call)
+		answer, err := a.send(h, call)
 		a.settle(h, batch, call, answer, err)
 	}
 }
 
-func (a *allotments) send(id membership.ID, call usageCall) (answer usageAnswer, err error) {
+// send calls a home, or an instance that passes the call on where the home did not answer of late: often only the way between
+// two instances is harmed.
+func (a *allotments) send(h *home, call usageCall) (usageAnswer, error) {
+	a.mu.Lock()
+	direct := time.Now().After(h.restTo)
+	a.mu.Unlock()
+	if direct {
+		answer, err := a.callAt(h.id, call)
+		if err == nil {
+			return answer, nil
+		}
+		a.mu.Lock()
+		h.restTo = time.Now().Add(homeRest)
+		a.mu.Unlock()
+	}
+	return a.callAt(a.relay(h.id), call)
+}
+
+// relay picks an instance of the own failure domain, or else any, to pass a call on to a home.
+func (a *allotments) relay(home membership.ID) membership.ID {
+	var near, far []membership.ID
+	for id, r := range a.instance.members.Directory().Records() {
+		if id == home || id == a.instance.id || r.Leaving {
+			continue
+		}
+		far = append(far, id)
+		if r.Domain == a.instance.options.Settings.Domain {
+			near = append(near, id)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return home
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// callAt makes the call at one instance.
+func (a *allotments) callAt(id membership.ID, call usageCall) (answer usageAnswer, err error) {
 	if id == a.instance.id {
 		return a.spend(call), nil
 	}
 	r, ok := a.instance.members.Directory().Record(id)
 	if !ok {
-		return answer, result.New(result.PeerUnknown, "the home %s is not in the membership", id)
+		return answer, result.New(result.PeerUnknown, "the instance %s is not in the membership", id)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
 	defer cancel()
@@ -243,7 +288,7 @@
 	defer a.mu.Unlock()
 	if err != nil {
 		a.instance.options.Events.Log(event.HomeSilent, event.F("home", string(h.id)), event.F("code", int(result.CodeOf(err))), event.F("accounts", len(call.Accounts)))
-		h.restTo = now.Add(homeRest)
+		h.lostTo = now.Add(homeRest)
 	}
 	for name, u := range call.Accounts {
 		if err != nil {
@@ -268,7 +313,11 @@
 
 // answer answers the call of another instance.
 func (a *allotments) answer(_ context.Context, call usageCall) (any, error) {
-	return a.spend(call), nil
+	if call.Home == a.instance.id || call.Relayed {
+		return a.spend(call), nil
+	}
+	call.Relayed = true
+	return a.callAt(call.Home, call)
 }
 
 // spend counts at the home.
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -37,6 +37,8 @@
 	leastCheck = 250 * time.Millisecond
 	// startPeers is how many instances a starting one asks in a round while the store is away.
 	startPeers = 3
+	// firstWait bounds how long an instance that is no watcher waits to hear of the first configuration.
+	firstWait = 3 * time.Second
 	// dutyPause is how often an instance looks whether it has become a watcher.
 	dutyPause = 250 * time.Millisecond
 	// The pauses between failed calls of the store grow from the first to the last, with jitter.
@@ -174,9 +176,10 @@
 // run keeps the configuration up until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	var p pause
-	for ctx.Err() == nil && !c.read(ctx) {
+	for ctx.Err() == nil && c.version() == 0 && !c.read(ctx) {
 		c.askAnyone(ctx)
 		p.wait(ctx)
+		c.awaitFirst(ctx)
 	}
 	p.reset()
 	for ctx.Err() == nil {
@@ -190,6 +193,16 @@
 	}
 }
 
+// awaitFirst leaves the store to the watchers while it answers that there is no configuration yet; the others hear of the
+// first one by the membership.
+func (c *configuration) awaitFirst(ctx context.Context) {
+	for end := time.Now().Add(firstWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, dutyPause) {
+		if c.version() > 0 || c.away.Load() || c.watches() {
+			return
+		}
+	}
+}
+
 // read takes over what the store holds; it reports whether a configuration is in force then.
 func (c *configuration) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -165,6 +165,43 @@
 	is.True(refused.Load() > 0)
 }
 
+// TestRateIsCountedAroundAHarmedWay cuts the ways between the home of an account and most others: they count through the ones
+// that reach it, and nothing below the rate is refused.
+func TestRateIsCountedAroundAHarmedWay(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	c := configured(1, "s")
+	c.Routes["safe"].Open = false
+	c.Accounts = map[string]*ticket.Account{"a": {Rate: 100, Burst: 10, Keys: []ticket.KeyHash{ticket.HashKey("k")}}}
+	store.put(t, c)
+	nodes := startAll(t, store, 5)
+	for _, x := range nodes { // the account is known at its home, and the levels elsewhere
+		is.Equal(x.do(t, http.MethodGet, "/safe/x", "k"), http.StatusOK)
+	}
+	home := nodes[0].HomeOf("a")
+	var address string
+	var caller *node
+	for _, x := range nodes {
+		if x.settings.Name == home {
+			address = x.settings.Control.String()
+		}
+	}
+	for _, x := range nodes {
+		if x.settings.Name != home && caller == nil {
+			caller = x
+			x.network.cut.Store(address, true)
+		}
+	}
+	refused := 0
+	for range 60 { // four fifths of the rate, far above the instance's own part
+		if caller.do(t, http.MethodGet, "/safe/x", "k") == http.StatusTooManyRequests {
+			refused++
+		}
+		time.Sleep(12 * time.Millisecond)
+	}
+	is.Equal(refused, 0)
+}
+
 // TestInstancesServeWhileTheStoreIsAway takes the store away; instances go on, and one that starts gets the configuration
 // from another as soon as it knows one.
 func TestInstancesServeWhileTheStoreIsAway(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 	discovery     *discovery
 	slot          *slot
 	allotments    *allotments
+	placement     *choice.Placement
 	control       *link.ControlServer
 	calls         *link.ControlClient
 	forwarder     *link.Forwarder
@@ -121,6 +122,7 @@
 	i.discovery = &discovery{store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events}
 	i.slot = newSlot(i.options.Events, i.repeats, i.members.SetEndpoints)
 	i.allotments = newAllotments(i)
+	i.placement = i.newPlacement()
 	i.metrics = newMetrics(i)
 	link.Register(i.control, gossip.MethodSync, i.members.AnswerSync)
 	link.Register(i.control, methodConfiguration, i.configuration.answer)
@@ -182,7 +184,7 @@
 		View:          i.configuration.view,
 		Directory:     i.members.Directory,
 		Admitter:      i.allotments,
-		Selector:      i.newPlacement(),
+		Selector:      i.placement,
 		Forwarder:     i.forwarder,
 		NewExchange:   i.newExchange,
 		Standing:      i.standing,
@@ -226,6 +228,9 @@
 	if d.Account == "" && (d.Err != nil || d.Status >= http.StatusInternalServerError) {
 		i.slot.callFailed(time.Now()) // requests without a key are calls of the backend server
 	}
+	if d.Service != "" {
+		i.placement.Ended(d.Service, d.Err == nil && d.Status < http.StatusInternalServerError)
+	}
 	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
 }
 
@@ -264,3 +269,11 @@
 func (i *Instance) Endpoints(service string) int {
 	return len(i.members.Directory().Endpoints(service))
 }
+
+// HomeOf returns the name of the instance that counts for a client account, as this one sees it.
+func (i *Instance) HomeOf(account string) string {
+	if r, ok := i.members.Directory().Record(i.allotments.homeOf(account)); ok {
+		return r.Name
+	}
+	return ""
+}
