--- a/cmd/amaranth-sidecar/main.go
+++ b/cmd/amaranth-sidecar/main.go
@@ -24,7 +24,7 @@
 	file := flag.String("settings", os.Getenv(platform.SettingsVariable), "settings `FILE` in the platform's format")
 	check := flag.Bool("check", false, "check the settings and exit")
 	metrics := flag.Int("metrics", 0, "serve the metrics on this `PORT`; 0 for none")
-	level := flag.String("log", "info", "write log lines from this `LEVEL` upward: debug, info, warn or error")
+	level := flag.String("loglevel", "info", "write log lines from this `LEVEL` upward: debug, info, warn or error")
 	flag.Parse()
 	if *file == "" || flag.NArg() > 0 {
 		flag.Usage()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,8 +12,8 @@
 	"amaranthstile/fleet"
 	"amaranthstile/instance"
 	"amaranthstile/membership"
-	"amaranthstile/store/standin"
 	"amaranthstile/result"
+	"amaranthstile/store/standin"
 	"amaranthstile/ticket"
 )
 
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -146,7 +146,7 @@
 		h.Set(link.HeaderCall, "1")
 	}
 	if t.callerService != "" {
-		h.Set(link.HeaderCallerService, t.callerService)
+		h.Set(link.HeaderOriginService, t.callerService)
 	}
 	if t.key != "" {
 		delete(h, "Idempotency-Key")
--- a/exit/dialect.go
+++ b/exit/dialect.go
@@ -32,7 +32,7 @@
 
 // Request implements Dialect.
 func (Own) Request(h http.Header, _ *backend.Unit) {
-	for _, name := range []string{link.HeaderPriority, link.HeaderRepeat, link.HeaderLastResort, link.HeaderCallerService} {
+	for _, name := range []string{link.HeaderPriority, link.HeaderRepeat, link.HeaderLastResort, link.HeaderOriginService} {
 		delete(h, name)
 	}
 }
--- a/exit/outgoing.go
+++ b/exit/outgoing.go
@@ -43,7 +43,7 @@
 	delete(out.Header, "Authorization")
 	delete(out.Header, "Expect")
 	out.Header.Set(link.HeaderExchange, r.Header.Get(link.HeaderExchange))
-	for _, name := range []string{link.HeaderCallerService} {
+	for _, name := range []string{link.HeaderOriginService} {
 		if v := r.Header.Get(name); v != "" {
 			out.Header.Set(name, v)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,9 +15,9 @@
 	"amaranthstile/event"
 	"amaranthstile/instance"
 	"amaranthstile/internal/trialkeys"
+	"amaranthstile/settings"
 	"amaranthstile/store"
 	"amaranthstile/store/standin"
-	"amaranthstile/settings"
 	"amaranthstile/ticket"
 )
 
--- a/instance/backend_metrics.go
+++ b/instance/backend_metrics.go
@@ -5,16 +5,17 @@
 
 	"amaranthstile/backend"
 	"amaranthstile/backend/health"
+	"amaranthstile/internal/side"
 )
 
 // backendMetrics count the verdicts on the own backend servers, their queues and the choice of endpoints.
 func (i *Instance) backendMetrics() []prometheus.Collector {
 	counter := func(name, help string, read func() uint64) prometheus.Collector {
-		o := prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}
+		o := prometheus.CounterOpts{Namespace: side.Namespace, Name: name, Help: help}
 		return prometheus.NewCounterFunc(o, func() float64 { return float64(read()) })
 	}
 	gauge := func(name, help string, read func(backend.Load) int) prometheus.Collector {
-		o := prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}
+		o := prometheus.GaugeOpts{Namespace: side.Namespace, Name: name, Help: help}
 		return prometheus.NewGaugeFunc(o, func() float64 { return float64(i.backends.sum(read)) })
 	}
 	judged := i.backends.judge.stats
--- a/instance/backends.go
+++ b/instance/backends.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"amaranthstile/internal/owner"
-
 	"amaranthstile/backend"
 	"amaranthstile/backend/health"
 	"amaranthstile/event"
+	"amaranthstile/internal/owner"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 )
@@ -117,7 +117,7 @@
 func (b *backends) expire(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.owner.Do(b.expireOnce)
-		sleep(ctx, expireEvery)
+		wait.Sleep(ctx, expireEvery)
 	}
 }
 
--- a/instance/configuration.go
+++ b/instance/configuration.go
@@ -4,12 +4,11 @@
 	"context"
 	"slices"
 	"sync/atomic"
-	"time"
-
-	"amaranthstile/internal/owner"
 
 	"amaranthstile/entry"
 	"amaranthstile/event"
+	"amaranthstile/internal/owner"
+	"amaranthstile/internal/wait"
 	"amaranthstile/store"
 	"amaranthstile/ticket"
 )
@@ -242,7 +241,7 @@
 // the first read of the platform or, while that is away, of a peer. Afterwards only the watchers of a failure
 // domain wait at the platform; the others learn from them.
 func (c *configuration) follow(ctx context.Context, loaded func()) {
-	var failed pause
+	failed := wait.Pause{First: firstPause, Last: lastPause}
 	head, err := c.log.Head(ctx)
 	for ctx.Err() == nil {
 		if err == nil {
@@ -256,9 +255,9 @@
 			loaded = nil
 		}
 		if err != nil {
-			failed.wait(ctx)
+			failed.Wait(ctx)
 		} else {
-			failed.reset()
+			failed.Reset()
 		}
 		if loaded == nil {
 			c.spread.waitForDuty(ctx)
@@ -291,13 +290,3 @@
 	}
 	c.event.Log(event.PlatformBack)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/instance/discovery.go
+++ b/instance/discovery.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"amaranthstile/gossip"
-
+	"amaranthstile/internal/wait"
 	"amaranthstile/membership"
 	"amaranthstile/result"
 	"amaranthstile/store"
@@ -83,7 +83,7 @@
 	d.start(ctx)
 	every := firstSweep
 	for ctx.Err() == nil {
-		sleep(ctx, every/2+time.Duration(d.rand.Int64N(int64(every))))
+		wait.Sleep(ctx, every/2+time.Duration(d.rand.Int64N(int64(every))))
 		d.sweep(ctx)
 		limit := sweepEvery
 		if d.alone() {
--- a/instance/early_test.go
+++ b/instance/early_test.go
@@ -3,12 +3,11 @@
 import (
 	"testing"
 
-	"amaranthstile/gossip"
-	"amaranthstile/internal/owner"
-
 	"github.com/matryer/is"
 
 	"amaranthstile/event"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/store"
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,9 +9,6 @@
 	"sync"
 	"sync/atomic"
 
-	"amaranthstile/gossip"
-	"amaranthstile/internal/owner"
-
 	"github.com/asynkron/protoactor-go/actor"
 
 	"amaranthstile/backend"
@@ -19,6 +16,9 @@
 	"amaranthstile/entry"
 	"amaranthstile/event"
 	"amaranthstile/exit"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
+	"amaranthstile/internal/side"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/once"
@@ -161,9 +161,9 @@
 func (i *Instance) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	entrySide := i.closeWhenStopping(i.metrics.count("entry", i.entry))
+	entrySide := side.CloseWhen(i.stopping.Load, i.metrics.Count("entry", i.entry))
 	i.serveOn(entry.NewServer(entrySide), entry.Listen(i.listeners.callers))
-	exitSide := i.closeWhenStopping(i.metrics.count("exit", exit.New(exit.Options{Units: i.backends.units, Observer: i.backends.judge, MayRun: i.mayRun})))
+	exitSide := side.CloseWhen(i.stopping.Load, i.metrics.Count("exit", exit.New(exit.Options{Units: i.backends.units, Observer: i.backends.judge, MayRun: i.mayRun})))
 	i.serve(i.secured(i.listeners.link), exitSide)
 	i.serve(i.listeners.slot, backend.NewAPI(i.backends))
 	i.serve(i.listeners.admin, i.adminHandler())
--- a/instance/keys.go
+++ b/instance/keys.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"time"
 
-
 	"amaranthstile/event"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -54,7 +54,7 @@
 func (i *Instance) watchKeys(ctx context.Context) {
 	refused := ""
 	for i.keys != nil && ctx.Err() == nil {
-		sleep(ctx, keysEvery)
+		wait.Sleep(ctx, keysEvery)
 		refused = i.reloadKeys(refused)
 	}
 }
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"amaranthstile/gossip"
-
 	"amaranthstile/event"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/wait"
 	"amaranthstile/standing"
 	"amaranthstile/ticket"
 )
@@ -37,17 +37,17 @@
 
 // run looks after the roster until ctx ends.
 func (r *rosters) run(ctx context.Context) {
-	var failed pause
+	failed := wait.Pause{First: firstPause, Last: lastPause}
 	for ctx.Err() == nil {
-		sleep(ctx, rosterEvery)
+		wait.Sleep(ctx, rosterEvery)
 		if !r.isDue(time.Now()) {
 			continue
 		}
 		if err := r.propose(ctx); err != nil {
-			failed.wait(ctx)
+			failed.Wait(ctx)
 			continue
 		}
-		failed.reset()
+		failed.Reset()
 	}
 }
 
--- a/instance/shares.go
+++ b/instance/shares.go
@@ -5,11 +5,10 @@
 	"sync"
 	"time"
 
-	"amaranthstile/gossip"
-	"amaranthstile/internal/owner"
-
 	"amaranthstile/contract"
 	"amaranthstile/entry"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
--- a/instance/sockets.go
+++ b/instance/sockets.go
@@ -1,24 +1,15 @@
 package instance
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"amaranthstile/gossip"
-
-	"amaranthstile/event"
-	"amaranthstile/link"
+	"amaranthstile/internal/side"
 	"amaranthstile/settings"
 )
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	serverHeaderBytes = 64 << 10
-)
-
 // listeners are the open sockets of an instance.
 type listeners struct {
 	callers, admin, slot, link, control net.Listener
@@ -27,21 +18,14 @@
 
 func (i *Instance) listen() error {
 	l := i.options.Settings.Listen
-	for _, x := range []struct {
-		to   *net.Listener
-		addr netip.AddrPort
-	}{
-		{&i.listeners.callers, l.Callers.AddrPort},
-		{&i.listeners.admin, l.Admin.AddrPort},
-		{&i.listeners.slot, l.Slot.AddrPort},
-		{&i.listeners.link, l.Link.AddrPort},
-	} {
-		opened, err := net.Listen("tcp", x.addr.String())
-		if err != nil {
-			i.listeners.close()
-			return err
-		}
-		*x.to = opened
+	err := side.Open(
+		side.Socket{To: &i.listeners.callers, Address: l.Callers.AddrPort},
+		side.Socket{To: &i.listeners.admin, Address: l.Admin.AddrPort},
+		side.Socket{To: &i.listeners.slot, Address: l.Slot.AddrPort},
+		side.Socket{To: &i.listeners.link, Address: l.Link.AddrPort},
+	)
+	if err != nil {
+		return err
 	}
 	control, datagrams, err := gossip.Listen(i.options.Network, l.Control.AddrPort)
 	if err != nil {
@@ -60,24 +44,11 @@
 	}
 }
 
-func (i *Instance) serve(l net.Listener, h http.Handler) {
-	i.serveOn(&http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       link.IdleTimeout,
-		MaxHeaderBytes:    serverHeaderBytes,
-	}, l)
-}
+func (i *Instance) serve(l net.Listener, h http.Handler) { i.serveOn(side.NewServer(h), l) }
 
 func (i *Instance) serveOn(s *http.Server, l net.Listener) {
-	s.ErrorLog = event.ServerLog(i.options.Events).Std("", 0)
 	i.servers = append(i.servers, s)
-	i.running.Go(func() {
-		err := s.Serve(l)
-		if err != nil && !errors.Is(err, http.ErrServerClosed) {
-			i.options.Events.Log(event.ServerFailed, event.F("error", err.Error()))
-		}
-	})
+	side.Serve(&i.running, s, l, i.options.Events)
 }
 
 // Addresses returns the addresses that the instance listens on.
--- a/instance/spread.go
+++ b/instance/spread.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"amaranthstile/gossip"
-
 	"amaranthstile/event"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -285,16 +285,6 @@
 // waitForDuty returns once this instance is to watch the platform, or ctx ends.
 func (s *spread) waitForDuty(ctx context.Context) {
 	for ctx.Err() == nil && !s.watches() {
-		sleep(ctx, dutyPause)
+		wait.Sleep(ctx, dutyPause)
 	}
 }
-
-// pause is a growing pause with jitter between failed calls.
-type pause struct{ next time.Duration }
-
-func (p *pause) wait(ctx context.Context) {
-	p.next = min(max(2*p.next, firstPause), lastPause)
-	sleep(ctx, p.next/2+time.Duration(mathrand.Int64N(int64(p.next))))
-}
-
-func (p *pause) reset() { p.next = 0 }
--- a/instance/standing.go
+++ b/instance/standing.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/event"
 	"amaranthstile/gossip"
 	"amaranthstile/internal/owner"
-
-	"amaranthstile/event"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -201,10 +201,10 @@
 	for ctx.Err() == nil {
 		s.noteLack()
 		if s.renew(ctx) {
-			sleep(ctx, s.terms.Round)
+			wait.Sleep(ctx, s.terms.Round)
 			continue
 		}
-		sleep(ctx, s.terms.Relay)
+		wait.Sleep(ctx, s.terms.Relay)
 	}
 }
 
--- a/instance/stats_metrics.go
+++ b/instance/stats_metrics.go
@@ -6,6 +6,8 @@
 	"unicode"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"amaranthstile/internal/side"
 )
 
 // statsCollector turns the counts that the parts of an instance keep into metrics: one for each number in them, named
@@ -49,13 +51,13 @@
 		case x.CanUint():
 			tell(out, field, float64(x.Uint()))
 		case x.Kind() == reflect.Bool:
-			tell(out, field, oneIf(x.Bool()))
+			tell(out, field, side.OneIf(x.Bool()))
 		}
 	}
 }
 
 func tell(out chan<- prometheus.Metric, name string, value float64) {
-	d := prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "", name), "See docs/OPERATORS.md.", nil, nil)
+	d := prometheus.NewDesc(prometheus.BuildFQName(side.Namespace, "", name), "See docs/OPERATORS.md.", nil, nil)
 	out <- prometheus.MustNewConstMetric(d, prometheus.UntypedValue, value)
 }
 
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"amaranthstile/event"
+	"amaranthstile/internal/wait"
 )
 
 const (
@@ -15,17 +15,6 @@
 	lastNotice = 500 * time.Millisecond
 )
 
-// closeWhenStopping asks callers and entry sides to leave their connections with the next answer once a planned stop began, so
-// that few connections are idle when they are closed.
-func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Stop shuts down without cutting a request: it tells the others, waits until they send nothing more, finishes
 // what is running and closes. When ctx ends before, what still runs is cut.
 func (i *Instance) Stop(ctx context.Context) error {
@@ -34,7 +23,7 @@
 	}
 	i.options.Events.Log(event.InstanceDraining)
 	i.members.Drain()
-	sleep(ctx, leaveNotice)
+	wait.Sleep(ctx, leaveNotice)
 	var err error
 	for _, s := range i.servers {
 		if e := s.Shutdown(ctx); e != nil {
@@ -45,7 +34,7 @@
 	i.once.HandOver(ctx)
 	i.discovery.stop(ctx)
 	i.members.Leave()
-	sleep(ctx, lastNotice)
+	wait.Sleep(ctx, lastNotice)
 	i.close()
 	i.options.Events.Log(event.InstanceStopped)
 	return err
--- a/instance/transfer_test.go
+++ b/instance/transfer_test.go
@@ -5,12 +5,11 @@
 	"net/netip"
 	"testing"
 
-	"amaranthstile/gossip"
-	"amaranthstile/internal/owner"
-
 	"github.com/matryer/is"
 
 	"amaranthstile/event"
+	"amaranthstile/gossip"
+	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
--- a/link/header.go
+++ b/link/header.go
@@ -42,7 +42,7 @@
 
 	// HeaderOrigin says who made an answer on the link: OriginFleet or OriginBackend.
 	HeaderOrigin = "Amaranth-Origin"
-	// HeaderPriority, HeaderRepeat, HeaderLastResort and HeaderCallerService go from the entry side to the exit side: the
+	// HeaderPriority, HeaderRepeat, HeaderLastResort and HeaderOriginService go from the entry side to the exit side: the
 	// rank of a waiting request, whether an earlier try has reached a backend server, whether no other endpoint takes
 	// the request, and the service beside which the request began.
 	HeaderPriority = "Amaranth-Priority"
@@ -53,7 +53,7 @@
 	HeaderCall          = "Amaranth-Call"
 	HeaderRepeat        = "Amaranth-Repeat"
 	HeaderLastResort    = "Amaranth-Last-Resort"
-	HeaderCallerService = "Amaranth-Caller-Service"
+	HeaderOriginService = "Amaranth-Origin-Service"
 	// HeaderRetryAfter is on refusals: the milliseconds after which trying again may help.
 	HeaderRetryAfter = "Amaranth-Retry-After-Ms"
 )
--- a/once/plain.go
+++ b/once/plain.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"amaranthstile/store"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 // plainPrefix precedes the names of the objects that hold plain keys.
--- a/once/plain_test.go
+++ b/once/plain_test.go
@@ -10,9 +10,8 @@
 	"pgregory.net/rapid"
 
 	_ "amaranthstile/internal/fixedseed"
-
-	objects "amaranthstile/store"
 	"amaranthstile/result"
+	objects "amaranthstile/store"
 )
 
 // lossy is a platform whose answers get lost and whose writes may take effect later, as drawn.
--- a/once/plainservice.go
+++ b/once/plainservice.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"amaranthstile/store"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 const (
--- a/once/service.go
+++ b/once/service.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"amaranthstile/link"
-	"amaranthstile/store"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 const (
--- a/once/sweep.go
+++ b/once/sweep.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"amaranthstile/store"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 const (
--- a/sidecar/allotments.go
+++ b/sidecar/allotments.go
@@ -10,6 +10,7 @@
 
 	"amaranthstile/contract"
 	"amaranthstile/event"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -353,7 +354,7 @@
 // run drops what is not needed any more, until ctx ends.
 func (a *allotments) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		wait.Sleep(ctx, sweepEvery)
 		view := a.instance.configuration.view()
 		if view == nil {
 			continue
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -13,6 +13,7 @@
 	"amaranthstile/entry"
 	"amaranthstile/event"
 	"amaranthstile/gossip"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -175,20 +176,20 @@
 
 // run keeps the configuration up until ctx ends.
 func (c *configuration) run(ctx context.Context) {
-	var p pause
+	p := wait.Pause{First: firstPause, Last: lastPause}
 	for ctx.Err() == nil && c.version() == 0 && !c.read(ctx) {
 		c.askAnyone(ctx)
-		p.wait(ctx)
+		p.Wait(ctx)
 		c.awaitFirst(ctx)
 	}
-	p.reset()
+	p.Reset()
 	for ctx.Err() == nil {
 		c.waitForDuty(ctx)
 		if c.watch(ctx) {
-			p.reset()
+			p.Reset()
 			continue
 		}
-		p.wait(ctx)
+		p.Wait(ctx)
 		c.read(ctx)
 	}
 }
@@ -196,7 +197,7 @@
 // awaitFirst leaves the store to the watchers while it answers that there is no configuration yet; the others hear of the
 // first one by the membership.
 func (c *configuration) awaitFirst(ctx context.Context) {
-	for end := time.Now().Add(firstWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, dutyPause) {
+	for end := time.Now().Add(firstWait); ctx.Err() == nil && time.Now().Before(end); wait.Sleep(ctx, dutyPause) {
 		if c.version() > 0 || c.away.Load() || c.watches() {
 			return
 		}
@@ -277,7 +278,7 @@
 // waitForDuty returns once this instance is one of its failure domain's watchers, or ctx ends.
 func (c *configuration) waitForDuty(ctx context.Context) {
 	for ctx.Err() == nil && !c.watches() {
-		sleep(ctx, dutyPause)
+		wait.Sleep(ctx, dutyPause)
 	}
 }
 
@@ -323,7 +324,7 @@
 	for ctx.Err() == nil {
 		c.waitForDuty(ctx)
 		every := max(c.deadline/checksPerDeadline*time.Duration(c.watchers()), leastCheck)
-		sleep(ctx, every/2+rand.N(every))
+		wait.Sleep(ctx, every/2+rand.N(every))
 		before := c.version()
 		if c.watches() && c.read(ctx) && before > 0 && c.version() > before {
 			c.event.Log(event.WatchSilent, event.F("version", c.version()), event.F("before", before))
@@ -396,26 +397,6 @@
 	return nil
 }
 
-// pause is a growing pause with jitter between failed calls.
-type pause struct{ next time.Duration }
-
-func (p *pause) wait(ctx context.Context) {
-	p.next = min(max(2*p.next, firstPause), lastPause)
-	sleep(ctx, p.next/2+time.Duration(rand.Int64N(int64(p.next))))
-}
-
-func (p *pause) reset() { p.next = 0 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // standing refuses to act for client accounts where the platform asks for that: once nothing has confirmed the
 // configuration for the time of a revocation, a withdrawn key could still work.
 func (c *configuration) standing(b Bounds, now time.Time) error {
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -8,6 +8,7 @@
 
 	"amaranthstile/event"
 	"amaranthstile/gossip"
+	"amaranthstile/internal/wait"
 	"amaranthstile/membership"
 	"amaranthstile/result"
 )
@@ -34,29 +35,29 @@
 // run registers this instance and joins the others, until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	d.members.Join(d.peers)
-	var p pause
+	p := wait.Pause{First: firstPause, Last: lastPause}
 	registered := false
 	for ctx.Err() == nil {
 		found, err := d.read(ctx)
 		if err != nil {
 			d.event.Log(event.PlatformAway, event.F("call", "contacts"), event.F("error", err.Error()))
-			p.wait(ctx)
+			p.Wait(ctx)
 			continue
 		}
 		if !registered && !d.listed(found) {
 			if err := d.register(ctx); err != nil {
 				d.event.Log(event.PlatformAway, event.F("call", "register"), event.F("error", err.Error()))
-				p.wait(ctx)
+				p.Wait(ctx)
 				continue
 			}
 		}
 		registered = true
-		p.reset()
+		p.Reset()
 		every := contactsEvery
 		if len(d.members.Directory().Records()) <= 1 {
 			every = aloneEvery
 		}
-		sleep(ctx, every/2+rand.N(every))
+		wait.Sleep(ctx, every/2+rand.N(every))
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,11 +4,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,6 +21,7 @@
 	"amaranthstile/exit"
 	"amaranthstile/gossip"
 	"amaranthstile/internal/owner"
+	"amaranthstile/internal/side"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 )
@@ -144,21 +143,14 @@
 
 func (i *Instance) listen() error {
 	s := i.options.Settings
-	for _, x := range []struct {
-		to   *net.Listener
-		addr netip.AddrPort
-	}{
-		{&i.listeners.callers, s.Callers},
-		{&i.listeners.link, s.Link},
-		{&i.listeners.ready, s.Ready},
-		{&i.listeners.slot, s.Slot},
-	} {
-		opened, err := net.Listen("tcp", x.addr.String())
-		if err != nil {
-			i.listeners.close()
-			return err
-		}
-		*x.to = opened
+	err := side.Open(
+		side.Socket{To: &i.listeners.callers, Address: s.Callers},
+		side.Socket{To: &i.listeners.link, Address: s.Link},
+		side.Socket{To: &i.listeners.ready, Address: s.Ready},
+		side.Socket{To: &i.listeners.slot, Address: s.Slot},
+	)
+	if err != nil {
+		return err
 	}
 	control, datagrams, err := gossip.Listen(i.options.Network, s.Control)
 	if err != nil {
@@ -200,9 +192,9 @@
 		Dialect:  i.options.Backends,
 		Gone:     i.slot.gone,
 	})
-	callers := entry.NewServer(i.closeWhenStopping(i.metrics.count("entry", i.options.Callers(entrySide))))
+	callers := entry.NewServer(side.CloseWhen(i.stopping.Load, i.metrics.Count("entry", i.options.Callers(entrySide))))
 	i.serveOn(callers, entry.Listen(i.listeners.callers))
-	i.serve(i.listeners.link, i.closeWhenStopping(i.metrics.count("exit", exitSide)))
+	i.serve(i.listeners.link, side.CloseWhen(i.stopping.Load, i.metrics.Count("exit", exitSide)))
 	i.serve(i.listeners.slot, i.options.Reports(i.slot))
 	i.serve(i.listeners.ready, i.readyHandler())
 	i.running.Go(func() { _ = i.control.Serve(i.listeners.control) })
@@ -234,29 +226,11 @@
 	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
 }
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	serverHeaderBytes = 64 << 10
-)
-
-func (i *Instance) serve(l net.Listener, h http.Handler) {
-	i.serveOn(&http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       link.IdleTimeout,
-		MaxHeaderBytes:    serverHeaderBytes,
-	}, l)
-}
+func (i *Instance) serve(l net.Listener, h http.Handler) { i.serveOn(side.NewServer(h), l) }
 
 func (i *Instance) serveOn(s *http.Server, l net.Listener) {
-	s.ErrorLog = event.ServerLog(i.options.Events).Std("", 0)
 	i.servers = append(i.servers, s)
-	i.running.Go(func() {
-		err := s.Serve(l)
-		if err != nil && !errors.Is(err, http.ErrServerClosed) {
-			i.options.Events.Log(event.ServerFailed, event.F("error", err.Error()))
-		}
-	})
+	side.Serve(&i.running, s, l, i.options.Events)
 }
 
 // Reload takes over changed settings. What can change while the process runs is the service beside it and the bounds.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthstile/event"
+	"amaranthstile/internal/wait"
 )
 
 const (
@@ -16,17 +17,6 @@
 	stopMargin = 400 * time.Millisecond
 )
 
-// closeWhenStopping asks callers and entry sides to leave their connections with the next answer once a planned stop began, so
-// that few connections are idle when they are closed.
-func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // readyHandler tells the platform whether requests are taken, and serves the metrics.
 func (i *Instance) readyHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -54,7 +44,7 @@
 	i.members.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(i.options.Settings.Bounds.GracePeriod-stopMargin))
 	defer cancel()
-	sleep(ctx, readyNotice)
+	wait.Sleep(ctx, readyNotice)
 	for _, s := range i.servers {
 		if s.Shutdown(ctx) != nil {
 			_ = s.Close()
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"amaranthstile/result"
 	objects "amaranthstile/store"
 	"amaranthstile/store/standin"
-	"amaranthstile/result"
 )
 
 const watchWait = 50 * time.Millisecond
--- a/store/fault_test.go
+++ b/store/fault_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/matryer/is"
 
+	"amaranthstile/result"
 	objects "amaranthstile/store"
 	"amaranthstile/store/standin"
-	"amaranthstile/result"
 )
 
 // TestFaults goes through the stand-in's faults: what reads and writes answer, and whether the write took effect.
--- a/store/standin/server.go
+++ b/store/standin/server.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"amaranthstile/store"
 	"amaranthstile/result"
+	"amaranthstile/store"
 )
 
 // FaultPath is where faults are read and set, as JSON.
