Keep every endpoint known, join the halves of a fleet, and confirm configurations where instances fail closed

Three tenths of all requests and half of the repeatable ones now go to any endpoint of the domain. Contacts are read again after 1.5 s, and an instance synchronizes with listed ones that it does not know. Cause 3: only watchers had their configuration confirmed, so fail_closed would have refused keys everywhere else. Instances that fail closed have it confirmed three times in the time of a revocation, by the store or another instance.

--- a/choice/placement.go
+++ b/choice/placement.go
@@ -29,13 +29,15 @@
 	// which would get none.
 	randomCost = 0.05
 	spreadCost = 0.5
-	// spreadShare is the share of repeatable requests that prove other endpoints.
-	spreadShare = 0.3
+	// spreadShare is the share of repeatable requests, and spreadOthers that of all others, which go to any endpoint of the
+	// domain: with them nearly every endpoint gets one within two seconds, and is known to be well when it is needed.
+	spreadShare  = 0.5
+	spreadOthers = 0.3
 	// unservedWeight is the weight of one request in a service's share of requests that were not served, and spreadAbove the
 	// share from which this instance spreads all requests of the service: where a part of the endpoints fails its callers, the
 	// others must not stand idle.
 	unservedWeight = 0.15
-	spreadAbove    = 0.12
+	spreadAbove    = 0.08
 	// shedCost is what an endpoint costs for shedAge after its backend server refused a request: others come first, but it stays
 	// in use where all of them refuse now and then.
 	shedCost = 1.5
@@ -108,7 +110,11 @@
 	var best membership.Candidate
 	var bestCost float64
 	found := false
-	spread := p.unserved[q.Service] > spreadAbove || q.Repeatable && p.options.Rand() < spreadShare
+	share := spreadOthers
+	if q.Repeatable {
+		share = spreadShare
+	}
+	spread := p.unserved[q.Service] > spreadAbove || p.options.Rand() < share
 	for _, c := range q.Directory.Endpoints(q.Service) {
 		if c.Instance.Leaving || c.State == membership.Draining || tried(q.Tried, c) {
 			continue
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -74,6 +74,7 @@
 	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
 }
 
+// Directory returns the present view of the instances and endpoints.
 func (m *Members) Directory() *membership.Directory { return m.view.Load() }
 
 // All returns the records of the view.
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -61,6 +61,8 @@
 type configurationAnswer struct {
 	Version       uint64 `json:"version"`
 	Specification []byte `json:"specification,omitempty"`
+	// AgeMillis is how long ago the store confirmed it to the answering instance.
+	AgeMillis int64 `json:"age"`
 }
 
 // inForce is one configuration with the view that requests read.
@@ -255,7 +257,37 @@
 	return true
 }
 
-func (c *configuration) confirm(at time.Time) { c.confirmed.Store(at.UnixNano()) }
+// confirm notes that the store held the configuration in force at a time, unless a later one is known.
+func (c *configuration) confirm(at time.Time) {
+	for {
+		old := c.confirmed.Load()
+		if at.UnixNano() <= old || c.confirmed.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// age is how long ago the store confirmed the configuration, here or to the instance that passed it on.
+func (c *configuration) age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.confirmed.Load()))
+}
+
+// confirmationsPerRevocation is how often, in the time of a revocation, an instance that fails closed has its configuration
+// confirmed.
+const confirmationsPerRevocation = 3
+
+// keepConfirmed has the configuration confirmed where the platform asks instances to fail closed, by the store or else by
+// another instance, until ctx ends.
+func (c *configuration) keepConfirmed(ctx context.Context, b Bounds) {
+	if !b.FailClosed {
+		return
+	}
+	for every := b.Revocation / confirmationsPerRevocation; ctx.Err() == nil; wait.Sleep(ctx, every/2+rand.N(every/2)) {
+		if c.version() > 0 && c.age(time.Now()) > every/2 && !c.read(ctx) {
+			c.askAnyone(ctx)
+		}
+	}
+}
 
 // noteStore logs when the store is lost and when it is back.
 func (c *configuration) noteStore(err error) {
@@ -307,15 +339,19 @@
 func (c *configuration) fetch(ctx context.Context, addr netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	asked := time.Now()
 	var a configurationAnswer
 	if err := c.calls.Call(ctx, addr.String(), methodConfiguration, configurationCall{Have: c.version()}, &a); err != nil {
 		c.event.Log(event.StateRefused, event.F("from", addr.String()), event.F("code", int(result.CodeOf(err))))
 		return false
 	}
-	if a.Specification == nil {
-		return true
+	if a.Specification != nil && c.accept(a.Specification, addr.String()) != nil {
+		return false
+	}
+	if c.version() <= a.Version {
+		c.confirm(asked.Add(-time.Duration(a.AgeMillis) * time.Millisecond))
 	}
-	return c.accept(a.Specification, addr.String()) == nil
+	return true
 }
 
 // check reads what the store holds now and then while this instance is a watcher, until ctx ends. The watchers of the fleet
@@ -377,7 +413,7 @@
 	if now == nil {
 		return nil, result.New(result.NotReady, "this instance has no configuration yet")
 	}
-	out := configurationAnswer{Version: now.Version}
+	out := configurationAnswer{Version: now.Version, AgeMillis: c.age(time.Now()).Milliseconds()}
 	if call.Have < now.Version {
 		out.Specification = now.specification
 	}
@@ -403,7 +439,7 @@
 	if !b.FailClosed {
 		return nil
 	}
-	age := now.Sub(time.Unix(0, c.confirmed.Load()))
+	age := c.age(now)
 	if age <= b.Revocation {
 		return nil
 	}
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	// aloneEvery is how often an instance that knows nobody reads the contacts again.
-	aloneEvery = time.Second
-	// contactsEvery is how often one that knows others does, against a fleet that started in two halves.
-	contactsEvery = time.Minute
-	// startSpread is the time over which instances that start together spread their first reading of the contacts, so that
-	// most find the others registered.
-	startSpread = 300 * time.Millisecond
+	// firstContacts is when the contacts are read again after the first time, and while the instance knows nobody: by then
+	// instances that started together have registered. The time grows by contactsGrowth up to lastContacts.
+	firstContacts  = 1500 * time.Millisecond
+	contactsGrowth = 4
+	lastContacts   = time.Minute
+	// meetMost is with how many listed instances that it does not know an instance synchronizes after one reading: each brings
+	// all that it knows, so that halves of a fleet become one.
+	meetMost = 2
 )
 
 // discovery finds other instances through the store.
@@ -37,6 +38,7 @@
 	d.members.Join(d.peers)
 	p := wait.Pause{First: firstPause, Last: lastPause}
 	registered := false
+	every := firstContacts
 	for ctx.Err() == nil {
 		found, err := d.read(ctx)
 		if err != nil {
@@ -53,11 +55,30 @@
 		}
 		registered = true
 		p.Reset()
-		every := contactsEvery
+		d.meet(found)
+		wait.Sleep(ctx, every/2+rand.N(every))
+		every = min(contactsGrowth*every, lastContacts)
 		if len(d.members.Directory().Records()) <= 1 {
-			every = aloneEvery
+			every = firstContacts
 		}
-		wait.Sleep(ctx, every/2+rand.N(every))
+	}
+}
+
+// meet synchronizes with listed instances that are not known: each half of a fleet that started in two takes itself for the
+// whole.
+func (d *discovery) meet(found []Contact) {
+	known := make(map[netip.AddrPort]bool)
+	for _, r := range d.members.Directory().Records() {
+		known[r.Control] = true
+	}
+	rand.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
+	met := 0
+	for _, c := range found {
+		if known[c.Control] || c.Control == d.self.Control || met == meetMost {
+			continue
+		}
+		met++
+		d.members.SyncWith(c.Control)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -203,6 +203,7 @@
 	i.running.Go(func() { i.configuration.run(ctx) })
 	i.running.Go(func() { i.configuration.follow(ctx) })
 	i.running.Go(func() { i.configuration.check(ctx) })
+	i.running.Go(func() { i.configuration.keepConfirmed(ctx, i.options.Settings.Bounds) })
 	i.running.Go(func() { i.allotments.run(ctx) })
 }
 
