--- a/contract/pool.go
+++ b/contract/pool.go
@@ -114,6 +114,7 @@
 	untold   int
 	noneTill time.Time
 	own      float64 // tokens of the instance's own part
+	owed     int     // spent of the own part, and not told to the home yet
 	ownAt    time.Time
 }
 
@@ -124,6 +125,7 @@
 	if !reachable {
 		if p.own >= 1 {
 			p.own--
+			p.owed++
 			return SpendOwn, 0
 		}
 		return Refuse, time.Duration((1 - p.own) / max(share.Rate, leastShare) * float64(time.Second))
@@ -163,5 +165,15 @@
 	}
 }
 
+// TakeOwed returns what was spent while the home could not be reached, to be told to it now.
+func (p *Purse) TakeOwed() int {
+	n := p.owed
+	p.owed = 0
+	return n
+}
+
+// Owe takes back what TakeOwed returned and the home did not hear.
+func (p *Purse) Owe(n int) { p.owed += n }
+
 // Lost notes that the home did not answer: what was spent may not be known there.
 func (p *Purse) Lost(spent int) { p.untold = max(p.untold-spent, 0) }
--- a/contract/pool_test.go
+++ b/contract/pool_test.go
@@ -128,3 +128,18 @@
 	}
 	is.True(runs <= 5*20+2*instances)
 }
+
+// TestPurseTellsWhatItSpentAlone lets the home hear, once it is back, what was spent of the own part meanwhile.
+func TestPurseTellsWhatItSpentAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var p Purse
+	for range 2 {
+		v, _ := p.Admit(now, false, PurseShare{Rate: 1, Burst: 2})
+		is.Equal(v, SpendOwn)
+	}
+	is.Equal(p.TakeOwed(), 2)
+	is.Equal(p.TakeOwed(), 0)
+	p.Owe(2) // the call was lost
+	is.Equal(p.TakeOwed(), 2)
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -86,8 +86,8 @@
 	if c.closed.Load() {
 		return n, net.ErrClosed
 	}
-	c.withheld = false
 	m, err := c.Conn.Write(p[last:])
+	c.withheld = m == 0 // a write that failed whole has sent nothing
 	c.written += int64(m)
 	return n + m, err
 }
--- a/sidecar/allotments.go
+++ b/sidecar/allotments.go
@@ -212,6 +212,7 @@
 			a.mu.Unlock()
 			return
 		}
+		owed := a.takeOwed(batch)
 		a.mu.Unlock()
 		call := usageCall{Home: h.id, Accounts: make(map[string]usage)}
 		for _, s := range batch {
@@ -223,11 +224,39 @@
 			}
 			call.Accounts[s.account] = u
 		}
+		for account, n := range owed {
+			u := call.Accounts[account]
+			u.Spent += n
+			call.Accounts[account] = u
+		}
 		answer, err := a.send(h, call)
+		if err != nil {
+			a.owe(owed)
+		}
 		a.settle(h, batch, call, answer, err)
 	}
 }
 
+// takeOwed returns what the accounts of a batch spent while their home could not be reached; the caller holds the lock.
+func (a *allotments) takeOwed(batch []*spending) map[string]int {
+	owed := make(map[string]int)
+	for _, s := range batch {
+		if n := a.purse(s.account).TakeOwed(); n > 0 {
+			owed[s.account] += n
+		}
+	}
+	return owed
+}
+
+// owe takes back what the home did not hear.
+func (a *allotments) owe(owed map[string]int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for account, n := range owed {
+		a.purse(account).Owe(n)
+	}
+}
+
 // send calls a home, or an instance that passes the call on where the home did not answer of late: often only the way between
 // two instances is harmed.
 func (a *allotments) send(h *home, call usageCall) (usageAnswer, error) {
