Count retries over the whole window of the budget

Cause: the counts of ten parts of the window cover nine to ten of them, since the current part is incomplete, so that retries from the beginning of a window were no longer counted. Change: retries are counted in one part more than the window has; first attempts are still counted in the parts within the window.

--- a/backend/admission/budget.go
+++ b/backend/admission/budget.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// windowParts is the number of parts into which the window of a RetryBudget is divided. Counts expire one part at a
-// time.
-const windowParts = 10
+const (
+	// windowParts is the number of parts into which the window of a RetryBudget is divided. Counts expire one part at a
+	// time.
+	windowParts = 10
+	// retryParts is the number of parts in which retries are counted. The current part is incomplete, so that one part
+	// more than the window has is needed to count every retry of a whole window.
+	retryParts = windowParts + 1
+)
 
 // budgetMargin is the share of the bound that is used. The nested calls of a retried request count as retries too, but
 // they cannot be distinguished here; the margin leaves room for them.
@@ -22,24 +27,25 @@
 
 // RetryBudget limits the retries at one backend server by the number of first attempts that arrive there.
 type RetryBudget struct {
-	firstAttempts, retries [windowParts]float64 // by part of the window
-	currentPart            int64                // number of the latest part since the Unix epoch
+	firstAttempts [windowParts]float64 // by part of the window
+	retries       [retryParts]float64  // by part of the window and the one before it
+	currentPart   int64                // number of the latest part since the Unix epoch
 }
 
-// advance clears the parts that have left the window and returns the index of the current part.
-func (b *RetryBudget) advance(now time.Time, bound RetryBound) int {
+// advance clears the parts that have left the window and returns the number of the current part.
+func (b *RetryBudget) advance(now time.Time, bound RetryBound) int64 {
 	part := now.UnixNano() / int64(bound.Window/windowParts)
-	for n := max(b.currentPart+1, part-windowParts+1); n <= part; n++ {
-		b.firstAttempts[n%windowParts], b.retries[n%windowParts] = 0, 0
+	for n := max(b.currentPart+1, part-retryParts+1); n <= part; n++ {
+		b.firstAttempts[n%windowParts], b.retries[n%retryParts] = 0, 0
 	}
 	b.currentPart = max(b.currentPart, part)
-	return int(b.currentPart % windowParts)
+	return b.currentPart
 }
 
 // RecordFirst counts a first attempt.
 func (b *RetryBudget) RecordFirst(now time.Time, bound RetryBound) {
 	if bound.Window > 0 {
-		b.firstAttempts[b.advance(now, bound)]++
+		b.firstAttempts[b.advance(now, bound)%windowParts]++
 	}
 }
 
@@ -48,15 +54,17 @@
 	if bound.Window == 0 {
 		return true
 	}
-	at := b.advance(now, bound)
+	part := b.advance(now, bound)
 	first, retries := 0.0, 0.0
-	for n := range windowParts {
-		first += b.firstAttempts[n]
-		retries += b.retries[n]
+	for _, n := range b.firstAttempts {
+		first += n
+	}
+	for _, n := range b.retries {
+		retries += n
 	}
 	if retries+1 > budgetMargin*(bound.Ratio*first+bound.Slack) {
 		return false
 	}
-	b.retries[at]++
+	b.retries[part%retryParts]++
 	return true
 }
