Count the calls of the scripted server under a lock

Cause: the handlers of TestSubmitStatuses counted calls in a plain variable, and an aborted handler may still run when the next request arrives. Change: a counter with a lock; the assertions are the same.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,13 +29,33 @@
 
 const connectionLost answer = -1
 
+// callCounter counts the calls of a scripted server. A handler that was aborted may still run when the next one begins.
+type callCounter struct {
+	mu sync.Mutex
+	n  int
+}
+
+// next counts a call and returns how many came before it.
+func (c *callCounter) next() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return c.n - 1
+}
+
+// count returns the number of calls.
+func (c *callCounter) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
 // startScriptedServer serves the answers in order, and then repeats the last one.
-func startScriptedServer(t *testing.T, answers ...answer) (address string, calls *int) {
+func startScriptedServer(t *testing.T, answers ...answer) (address string, calls *callCounter) {
 	t.Helper()
-	calls = new(int)
+	calls = new(callCounter)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		a := answers[min(*calls, len(answers)-1)]
-		*calls++
+		a := answers[min(calls.next(), len(answers)-1)]
 		switch {
 		case a == connectionLost:
 			panic(http.ErrAbortHandler)
@@ -87,7 +108,7 @@
 			address, calls := startScriptedServer(t, c.answers...)
 			status, out, errors := run("-instance", address, "-patience", "8s", "ticket", "submit", file)
 			is.Equal(status, c.status)
-			is.Equal(*calls, c.calls) // waits of 0.2, 0.4, 0.8, 1.6, 2 and 2 s fit into 8 s
+			is.Equal(calls.count(), c.calls) // waits of 0.2, 0.4, 0.8, 1.6, 2 and 2 s fit into 8 s
 			is.Equal(status == operator.StatusDone, strings.Contains(out, "revision  9"))
 			is.Equal(status == operator.StatusUnknown, strings.Contains(errors, "2010 ticket-outcome-unknown"))
 			is.Equal(status != operator.StatusDone, strings.Contains(errors, "reason"))
