Process pipelined requests of one client connection at the same time

Cause: the HTTP server reads the next request of a connection only after it has answered the one before, so that the requests that a client sends ahead were run one after the other. Change: entry/pipelining delimits the requests between the network and the server, reads ahead while a request is processed, and starts the requests that may run more than once. Their responses wait for their turn; the server still parses each request and decides.

--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/entry/pipelining"
 	"amaranthstile/link"
 	"amaranthstile/result"
 )
@@ -20,6 +21,7 @@
 // responses with a result code.
 type clientConn struct {
 	net.Conn
+	requests        *pipelining.Conn // the same connection
 	limits          func() Limits
 	awaitingRequest atomic.Bool
 	received        atomic.Bool  // bytes arrived since the last request
@@ -27,14 +29,15 @@
 	idleSince       atomic.Int64 // when the connection began to await a request, in Unix nanoseconds
 }
 
-func newClientConn(c net.Conn, limits func() Limits) *clientConn {
-	wrapped := &clientConn{Conn: c, limits: limits}
+func newClientConn(c *pipelining.Conn, limits func() Limits) *clientConn {
+	wrapped := &clientConn{Conn: c, requests: c, limits: limits}
 	wrapped.awaitRequest()
 	return wrapped
 }
 
 // awaitRequest records that the connection awaits the next request from now on.
 func (c *clientConn) awaitRequest() {
+	c.requests.ExpectRequest()
 	c.received.Store(false)
 	c.idleSince.Store(time.Now().UnixNano())
 	c.awaitingRequest.Store(true)
@@ -121,12 +124,7 @@
 }
 
 // CloseWrite lets the HTTP server close the outgoing direction first, so that the client can read the response.
-func (c *clientConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
+func (c *clientConn) CloseWrite() error { return c.requests.CloseWrite() }
 
 // refusalBytes returns a whole HTTP response with err's result code. It states that the request was not run.
 func refusalBytes(err error) []byte {
--- a/entry/clientconn_test.go
+++ b/entry/clientconn_test.go
@@ -118,7 +118,8 @@
 // listenWithLimits starts an entry side with these limits.
 func (p *pipeline) listenWithLimits(t *testing.T, limits func() entry.Limits) {
 	listen := func(l net.Listener) net.Listener { return entry.ListenWithLimits(l, limits) }
-	p.address = serve(t, entry.NewServer(entry.New(p.options)), listen).String()
+	h := entry.New(p.options)
+	p.address = serve(t, entry.NewServer(h, h.MayRunTwice), listen).String()
 }
 
 // TestIdleLimitMayChangeWhileAConnectionIsIdle changes the limit while a connection is idle: the connection stays open
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -107,6 +107,16 @@
 	return Limits{}
 }
 
+// MayRunTwice reports whether a request may run more than once: its route allows that for its method.
+func (h *Handler) MayRunTwice(r *http.Request) bool {
+	config := h.options.Config()
+	if config == nil {
+		return false
+	}
+	matched, ok := config.Routes.Lookup(r.Host, r.URL.Path)
+	return ok && matched.Repeatable(r.Method)
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -117,7 +117,7 @@
 // listen starts an entry side with the current options.
 func (p *pipeline) listen(t testing.TB) {
 	p.handler = entry.New(p.options)
-	p.address = serve(t, entry.NewServer(p.handler), entry.Listen).String()
+	p.address = serve(t, entry.NewServer(p.handler, p.handler.MayRunTwice), entry.Listen).String()
 }
 
 // runsOf returns how often a request with this query reached a backend server.
--- /dev/null
+++ b/entry/pipelining/conn.go
@@ -0,0 +1,265 @@
+package pipelining
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// maxAheadRequests bounds the requests of one connection that are processed ahead of their turn.
+	maxAheadRequests = 8
+	// maxAheadBytes bounds what is read of one connection ahead of the server's reads.
+	maxAheadBytes = 32 << 10
+	// aheadReadBytes is the size of one read ahead of the server's reads.
+	aheadReadBytes = 4 << 10
+)
+
+// Conn is a connection from a client. Its reads return the bytes of one request at a time. Like those of any connection
+// of an http.Server, they are made by one goroutine at a time.
+type Conn struct {
+	net.Conn
+
+	head headScanner // of the request that the server reads
+
+	mu      sync.Mutex
+	opaque  bool            // requests can't be delimited any more; the server reads the connection as it is
+	hasHead bool            // the server has read the whole head of its request
+	unread  int64           // bytes of the request's body that the server has not read
+	pending []byte          // bytes that were received and that the server has not read
+	server  *Server         // nil before the first request
+	front   *http.Request   // that the server processes, nil while it reads the next one
+	ahead   []*aheadRequest // requests behind front that are processed, in the order of the connection
+	ended   error           // why nothing more can be received, or nil
+
+	aheadHead headScanner // of the first request behind ahead
+	started   int         // bytes of pending that belong to ahead
+	scanned   int         // bytes of pending that belong to ahead or were passed to aheadHead
+}
+
+// NewConn returns a Conn on a connection that was accepted.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// ExpectRequest tells that the response to the last request was written and that the server now awaits the next one. No
+// read may be in progress.
+func (c *Conn) ExpectRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.front, c.hasHead = nil, false
+	c.head.reset()
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	opaque, hasHead, unread, ended := c.opaque, c.hasHead, c.unread, c.ended
+	c.mu.Unlock()
+	switch {
+	case ended != nil:
+		return 0, ended
+	case opaque:
+		return c.readUndelimited(p)
+	case !hasHead:
+		return c.readHead(p)
+	case unread > 0:
+		return c.readBody(p[:min(int64(len(p)), unread)])
+	}
+	return c.readAhead(p)
+}
+
+// readUndelimited reads pending bytes, or else from the network.
+func (c *Conn) readUndelimited(p []byte) (int, error) {
+	if n := c.takePending(p); n > 0 {
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// readBody reads bytes of the body of the server's request.
+func (c *Conn) readBody(p []byte) (int, error) {
+	n, err := c.readUndelimited(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread -= int64(n)
+	return n, err
+}
+
+// takePending moves pending bytes to p.
+func (c *Conn) takePending(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.pending)
+	c.consume(n)
+	return n
+}
+
+// consume drops pending bytes that the server has read. The calling function holds the lock.
+func (c *Conn) consume(n int) {
+	c.pending = c.pending[n:]
+	c.scanned, c.started = max(c.scanned-n, 0), max(c.started-n, 0)
+	if len(c.pending) == 0 {
+		c.pending = nil
+	}
+}
+
+// readHead reads bytes of the head of the next request, and of nothing behind it.
+func (c *Conn) readHead(p []byte) (int, error) {
+	n := c.peekPending(p)
+	fromPending := n > 0
+	if !fromPending {
+		var err error
+		if n, err = c.Conn.Read(p); n == 0 {
+			return 0, err
+		}
+	}
+	used, complete := c.head.scan(p[:n])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.opaque {
+		c.opaque, used = true, n
+	}
+	if fromPending {
+		c.consume(used)
+	} else if used < n {
+		c.pending = bytes.Clone(p[used:n])
+	}
+	if complete {
+		c.hasHead, c.unread = true, c.head.bodyLength
+	}
+	if complete && len(c.ahead) == 0 {
+		c.scanned = 0 // what was scanned ahead is the head of this request
+		c.aheadHead.reset()
+	}
+	return used, nil
+}
+
+// peekPending copies pending bytes to p without dropping them.
+func (c *Conn) peekPending(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return copy(p, c.pending)
+}
+
+// readAhead receives what follows the request that the server processes, and starts the requests in it. Like a read of
+// an idle connection, it returns only when the connection ends, when its read deadline passes, or with bytes for the
+// server once too many have been received.
+func (c *Conn) readAhead(p []byte) (int, error) {
+	buffer := p[:min(len(p), 1)] // no larger buffer is needed for connections without pipelining
+	for {
+		c.mu.Lock()
+		c.startAhead()
+		full := len(c.pending) >= maxAheadBytes
+		c.opaque = c.opaque || full
+		c.mu.Unlock()
+		if full {
+			return c.takePending(p), nil
+		}
+		n, err := c.Conn.Read(buffer)
+		c.mu.Lock()
+		c.pending = append(c.pending, buffer[:n]...)
+		c.mu.Unlock()
+		if err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.end(err)
+			}
+			return 0, err
+		}
+		if len(buffer) < aheadReadBytes {
+			buffer = make([]byte, aheadReadBytes)
+		}
+	}
+}
+
+// begin tells that the server has read a request and passed it to the handler. It returns the processing of this request
+// if it was started ahead of its turn.
+func (c *Conn) begin(s *Server, r *http.Request) *aheadRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.server, c.front = s, r
+	var a *aheadRequest
+	if len(c.ahead) > 0 {
+		a = c.ahead[0]
+		c.ahead = slices.Delete(c.ahead, 0, 1)
+		if !a.sameRequest(r) {
+			a.cancel()
+			c.cancelAhead()
+			c.opaque = true
+			a = nil
+		}
+	}
+	c.startAhead()
+	return a
+}
+
+// startAhead starts the requests that were received whole and that may be processed beside all before them. The calling
+// function holds the lock.
+func (c *Conn) startAhead() {
+	if c.front == nil || c.opaque || c.ended != nil || c.unread > 0 {
+		return
+	}
+	for len(c.ahead) < maxAheadRequests && c.scanned < len(c.pending) && !c.aheadHead.opaque {
+		n, complete := c.aheadHead.scan(c.pending[c.scanned:])
+		c.scanned += n
+		if !complete {
+			return
+		}
+		r := c.parseAhead(c.pending[c.started:c.scanned])
+		c.aheadHead.reset()
+		if r == nil || !c.server.start(c, r) {
+			c.aheadHead.opaque = true // this request and all behind it wait for their turn
+			return
+		}
+		c.started = c.scanned
+	}
+}
+
+// parseAhead parses the head of a request, or returns nil if the request has to wait for its turn.
+func (c *Conn) parseAhead(head []byte) *http.Request {
+	if c.aheadHead.bodyLength > 0 || !c.server.MayOverlap(c.front) {
+		return nil
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || !httpguts.ValidHostHeader(r.Host) || r.Host == "" || !c.server.MayOverlap(r) {
+		return nil
+	}
+	r.RemoteAddr = c.RemoteAddr().String()
+	return r.WithContext(context.WithoutCancel(c.front.Context()))
+}
+
+// end ends the processing of the requests that the server has not reached, since nobody reads their responses.
+func (c *Conn) end(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended, c.pending = err, nil
+	c.cancelAhead()
+}
+
+// cancelAhead cancels the requests that are processed ahead of their turn. The calling function holds the lock.
+func (c *Conn) cancelAhead() {
+	for _, a := range c.ahead {
+		a.cancel()
+	}
+	c.ahead = nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.end(net.ErrClosed)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the outgoing direction, so that the client can read the last response.
+func (c *Conn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"amaranthstile/entry/pipelining"
 )
 
 const (
@@ -50,16 +52,27 @@
 }
 
 // NewServer returns the HTTP server for clients. It must serve a listener made by Listen or ListenWithLimits: then the
-// server's own responses, to requests that never reach the handler, have a result code too.
-func NewServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:                      markRequestTaken(h),
+// server's own responses, to requests that never reach the handler, have a result code too. Requests that a client sends
+// ahead on one connection are processed at the same time if mayOverlap reports true for them and all before them;
+// mayOverlap must not read the headers.
+func NewServer(h http.Handler, mayOverlap func(r *http.Request) bool) *http.Server {
+	s := &http.Server{
 		ReadHeaderTimeout:            defaultHeaderTimeout, // the connections of Listen set their own deadlines
 		MaxHeaderBytes:               serverHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    trackConnState,
 		ConnContext:                  storeConn,
 	}
+	s.Handler = serveConns(&pipelining.Server{
+		Handler:    h,
+		MayOverlap: mayOverlap,
+		Report: func(format string, args ...any) {
+			if s.ErrorLog != nil {
+				s.ErrorLog.Printf(format, args...)
+			}
+		},
+	})
+	return s
 }
 
 // Listen wraps a listener for NewServer, with the default limits.
@@ -83,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newClientConn(c, l.limits), nil
+	return newClientConn(pipelining.NewConn(c), l.limits), nil
 }
 
 // connKey is the context key of a request's connection.
@@ -102,12 +115,16 @@
 	}
 }
 
-// markRequestTaken marks the request's connection as no longer awaiting a request before it calls the next handler.
-func markRequestTaken(next http.Handler) http.Handler {
+// serveConns returns the handler of the HTTP server. It marks the request's connection as no longer awaiting a request
+// before it passes the request on.
+func serveConns(next *pipelining.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-			c.requestTaken()
+		c, ok := r.Context().Value(connKey{}).(*clientConn)
+		if !ok {
+			next.Handler.ServeHTTP(w, r)
+			return
 		}
-		next.ServeHTTP(w, r)
+		c.requestTaken()
+		next.Serve(c.requests, w, r)
 	})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -165,7 +165,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	entrySide := httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("entry", i.entry))
-	i.serveOn(entry.NewServer(entrySide), entry.Listen(i.listeners.clients))
+	mayOverlap := func(r *http.Request) bool { return !i.stopping.Load() && i.entry.MayRunTwice(r) }
+	i.serveOn(entry.NewServer(entrySide, mayOverlap), entry.Listen(i.listeners.clients))
 	exitSide := httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("exit", exit.New(exit.Options{Backends: i.backends.currentUpstreams, Observer: i.backends.health, CheckKey: i.checkKeyInForce})))
 	i.serve(i.withTLS(i.listeners.link), exitSide)
 	i.serve(i.listeners.slot, backend.NewAPI(i.backends))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -211,6 +211,8 @@
 	})
 	clientServer := entry.NewServer(
 		httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("entry", i.options.ClientMiddleware(entrySide))),
+		// during a shutdown, each response closes its connection, so that nothing behind it may be started
+		func(r *http.Request) bool { return !i.stopping.Load() && entrySide.MayRunTwice(r) },
 	)
 	i.serveWith(clientServer, entry.ListenWithLimits(i.listeners.clients, entrySide.Limits))
 	i.serve(i.listeners.link, httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("exit", exitSide)))
