Keep accounts at their coordinator when the number of shards changes

Cause: an account's shard was its hash modulo the number of shards, so that nearly all accounts changed their coordinator whenever the fleet crossed a multiple of 32 instances; and one account that moved cut the rates of all accounts of its new coordinator for up to 10 s. Change: a jump hash chooses the shard, and a takeover binds the accounts that moved. Instances of an earlier version do not name these; then all accounts of their call count as moved.

--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-jump"
 
 	"amaranthstile/membership"
 )
@@ -17,7 +18,7 @@
 		t = newCoordinatorTable(d)
 		q.table.Store(t)
 	}
-	return t.coordinators[xxhash.Sum64String(account)%uint64(len(t.coordinators))]
+	return t.coordinatorOf(account)
 }
 
 // coordinatorTable caches the coordinators for one view of the fleet, because ranking all instances for each request
@@ -37,6 +38,12 @@
 	return t
 }
 
+// coordinatorOf returns the coordinator of an account. With a consistent hash, an additional shard takes over accounts
+// from all others and leaves the rest where it is.
+func (t *coordinatorTable) coordinatorOf(account string) membership.ID {
+	return t.coordinators[jump.Hash(xxhash.Sum64String(account), len(t.coordinators))]
+}
+
 // currentCoordinator returns the coordinator of the accounts of a request as this instance sees it, or the one that the
 // request names if this instance is not that one or the accounts have different coordinators. A sender that has not yet
 // learned that a coordinator joined or came back asks the previous one; relaying its request keeps two instances from
@@ -64,13 +71,13 @@
 	return max(len(q.instance.members.Directory().Records()), 1)
 }
 
-// grantableShare returns the share of the accounts' rates that this coordinator may grant. It is the product of two
+// grantableShare returns the share of an account's rate that this coordinator may grant. It is the product of two
 // shares: the instances it sees, of the most that it saw recently, since the others may be partitioned off with a
-// coordinator of their own; and the instances that already moved to it from another coordinator. The calling function
-// holds the lock.
-func (q *quotas) grantableShare(now time.Time) float64 {
+// coordinator of their own; and, if the account moved here from another coordinator, the instances that have called
+// since. The calling function holds the lock.
+func (q *quotas) grantableShare(now time.Time, account string) float64 {
 	seen := q.instanceCount()
-	return float64(seen) / float64(q.fleet.largest(now, seen)) * q.takeover.Fraction(now, seen)
+	return float64(seen) / float64(q.fleet.largest(now, seen)) * q.takeovers.Fraction(now, account, seen)
 }
 
 // fleetSize tracks the largest number of instances that was seen recently. The zero value has seen none.
--- a/sidecar/coordinators_test.go
+++ b/sidecar/coordinators_test.go
@@ -1,10 +1,13 @@
 package sidecar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"amaranthstile/membership"
 )
 
 // TestFleetSizeCountsUnseenInstancesForASpan checks that instances that are no longer seen still count for at least one
@@ -20,3 +23,32 @@
 	is.Equal(f.largest(at(24), 3), 3)
 	is.Equal(f.largest(at(60), 2), 2) // both spans have expired since the last call
 }
+
+// TestFewAccountsMoveWhenInstancesJoin grows a fleet by one instance, which may add a shard: at most as many accounts
+// move as the new shard and the new instance take over, twice over.
+func TestFewAccountsMoveWhenInstancesJoin(t *testing.T) {
+	const accounts = 2000
+	for _, instances := range []int{31, 63, 319, 351, 2815} {
+		records := make(map[membership.ID]*membership.Record)
+		add := func(n int) {
+			id := membership.ID(fmt.Sprint("i", n))
+			records[id] = &membership.Record{ID: id}
+		}
+		for n := range instances {
+			add(n)
+		}
+		before := newCoordinatorTable(membership.NewDirectory(records))
+		add(instances)
+		after := newCoordinatorTable(membership.NewDirectory(records))
+		moved := 0
+		for n := range accounts {
+			if account := fmt.Sprint("account", n); before.coordinatorOf(account) != after.coordinatorOf(account) {
+				moved++
+			}
+		}
+		shards := max(len(before.coordinators), len(after.coordinators))
+		if bound := 2 * accounts * (1/float64(shards) + 1/float64(instances)); float64(moved) > bound {
+			t.Errorf("%d instances: %d of %d accounts moved, at most %.0f may", instances, moved, accounts, bound)
+		}
+	}
+}
