Read one page of contacts instead of the whole list of instances

Cause: each instance read all registered instances at its start and again at 1.5, 6 and 24 s, 50 an answer, so that the calls of a start grew with the square of the fleet. Change: an instance registers without reading first, and reads one page behind its own name, continuing in a circle; all readings but the first accept data that is seconds old. While a page lists instances that the membership does not know, the next one follows soon, otherwise after a minute.

--- a/entry/pipelining/conn_test.go
+++ b/entry/pipelining/conn_test.go
@@ -252,27 +252,33 @@
 		"safe behind unsafe": {get("/unsafe", "/safe/1", "/safe/2"), "/unsafe", 1, []string{"GET /unsafe ", "GET /safe/1 ", "GET /safe/2 "}},
 		"body behind safe": {
 			get("/safe/0") + "POST /safe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + get("/safe/2"),
-			"/safe/0", 1, []string{"GET /safe/0 ", "POST /safe/1 abc", "GET /safe/2 "},
+			"/safe/0", 1,
+			[]string{"GET /safe/0 ", "POST /safe/1 abc", "GET /safe/2 "},
 		},
 		"safe behind body": {
 			"POST /safe/0 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + get("/safe/1", "/safe/2"),
-			"/safe/0", 3, []string{"POST /safe/0 abc", "GET /safe/1 ", "GET /safe/2 "},
+			"/safe/0", 3,
+			[]string{"POST /safe/0 abc", "GET /safe/1 ", "GET /safe/2 "},
 		},
 		"chunks": {
 			get("/safe/0") + "POST /safe/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("/safe/2"),
-			"/safe/0", 1, []string{"GET /safe/0 ", "POST /safe/1 abc", "GET /safe/2 "},
+			"/safe/0", 1,
+			[]string{"GET /safe/0 ", "POST /safe/1 abc", "GET /safe/2 "},
 		},
 		"expectation": {
 			get("/safe/0") + "GET /safe/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n" + get("/safe/2"),
-			"/safe/0", 1, []string{"GET /safe/0 ", "GET /safe/1 ", "GET /safe/2 "},
+			"/safe/0", 1,
+			[]string{"GET /safe/0 ", "GET /safe/1 ", "GET /safe/2 "},
 		},
 		"bare line feeds": {
 			get("/safe/0") + "GET /safe/1 HTTP/1.1\nHost: h\n\n" + get("/safe/2"),
-			"/safe/0", 1, []string{"GET /safe/0 ", "GET /safe/1 ", "GET /safe/2 "},
+			"/safe/0", 1,
+			[]string{"GET /safe/0 ", "GET /safe/1 ", "GET /safe/2 "},
 		},
 		"long body behind safe": {
 			get("/safe/0") + "POST /safe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000) + get("/safe/2"),
-			"/safe/0", 1, []string{"GET /safe/0 ", "POST /safe/1 " + strings.Repeat("x", 100000), "GET /safe/2 "},
+			"/safe/0", 1,
+			[]string{"GET /safe/0 ", "POST /safe/1 " + strings.Repeat("x", 100000), "GET /safe/2 "},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"amaranthstile/event"
@@ -14,17 +15,30 @@
 )
 
 const (
-	// initialContactInterval is the time until the contacts are read for the second time, and between readings while no
-	// other instance is known: by then, instances that started at the same time have registered. The interval grows by
-	// contactIntervalGrowth up to maxContactInterval.
+	// initialContactInterval is the time until contacts are read for the second time, and between readings while no other
+	// instance is known or while unknown ones are found: by then, instances that started at the same time have
+	// registered.
 	initialContactInterval = 1500 * time.Millisecond
-	contactIntervalGrowth  = 4
 	maxContactInterval     = time.Minute
 	// maxSyncsPerRead bounds the listed but unknown instances that an instance synchronizes with after each reading. One
 	// synchronization exchanges the complete views, so a few are enough to merge the two parts of a divided fleet.
 	maxSyncsPerRead = 2
 )
 
+// contactCursor walks through the list of registered instances one page at a time, in a circle. Each instance begins
+// behind its own name: together they read the whole list, although none reads much of it, and each part of a divided
+// fleet borders on another one somewhere on the circle.
+type contactCursor struct {
+	after    string // the name behind which the next page starts
+	readings int
+}
+
+// advance moves the cursor behind a page that was read.
+func (c *contactCursor) advance(p ContactPage) {
+	c.after = p.Next
+	c.readings++
+}
+
 // discovery finds other instances through the store.
 type discovery struct {
 	store   Store
@@ -32,42 +46,58 @@
 	self    membership.Record
 	peers   []netip.AddrPort
 	event   *event.Logger
+
+	registered bool // this instance wrote its contact
 }
 
 // run registers this instance in the store and joins the listed instances, until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	d.members.Join(d.peers)
 	backoff := wait.Backoff{Min: minBackoff, Max: maxBackoff}
-	registered := false
-	interval := initialContactInterval
+	cursor := contactCursor{after: d.self.Name}
 	for ctx.Err() == nil {
-		found, err := d.readContacts(ctx)
+		found, err := d.registerAndRead(ctx, &cursor)
 		if err != nil {
-			d.event.Log(event.PlatformAway, event.F("call", "contacts"), event.F("error", err.Error()))
 			backoff.Wait(ctx)
 			continue
 		}
-		if !registered && !d.isListed(found) {
-			if err := d.register(ctx); err != nil {
-				d.event.Log(event.PlatformAway, event.F("call", "register"), event.F("error", err.Error()))
-				backoff.Wait(ctx)
-				continue
-			}
-		}
-		registered = true
 		backoff.Reset()
-		d.syncWithUnknown(found)
-		wait.Sleep(ctx, interval/2+rand.N(interval))
-		interval = min(contactIntervalGrowth*interval, maxContactInterval)
-		if len(d.members.Directory().Records()) <= 1 {
+		interval := maxContactInterval
+		if d.syncWithUnknown(found) > 0 || cursor.readings < 2 || len(d.members.Directory().Records()) <= 1 {
 			interval = initialContactInterval
 		}
+		wait.Sleep(ctx, interval/2+rand.N(interval))
+	}
+}
+
+// registerAndRead registers this instance, unless it is registered, and reads the next contacts, which needs no
+// registration.
+func (d *discovery) registerAndRead(ctx context.Context, cursor *contactCursor) ([]Contact, error) {
+	var registerErr error
+	if !d.registered {
+		registerErr = d.register(ctx)
+		d.logFailure("register", registerErr)
+		d.registered = registerErr == nil
+	}
+	found, err := d.readContacts(ctx, cursor)
+	d.logFailure("contacts", err)
+	if err == nil {
+		err = registerErr
+	}
+	return found, err
+}
+
+// logFailure logs that a call to the store failed.
+func (d *discovery) logFailure(call string, err error) {
+	if err != nil {
+		d.event.Log(event.PlatformAway, event.F("call", call), event.F("error", err.Error()))
 	}
 }
 
 // syncWithUnknown synchronizes with listed instances that the membership does not know. When a fleet starts in two
-// parts that do not see each other, each part would otherwise take itself for the whole fleet.
-func (d *discovery) syncWithUnknown(found []Contact) {
+// parts that do not see each other, each part would otherwise take itself for the whole fleet. It returns how many
+// synchronizations it started.
+func (d *discovery) syncWithUnknown(found []Contact) int {
 	known := make(map[netip.AddrPort]bool)
 	for _, r := range d.members.Directory().Records() {
 		known[r.Control] = true
@@ -81,32 +111,28 @@
 		synced++
 		d.members.SyncWith(c.Control)
 	}
+	return synced
 }
 
-// readContacts returns the contacts in the store and gives their addresses to the membership.
-func (d *discovery) readContacts(ctx context.Context) ([]Contact, error) {
+// readContacts reads the next contacts in the store and gives their addresses to the membership.
+func (d *discovery) readContacts(ctx context.Context, cursor *contactCursor) ([]Contact, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	found, err := d.store.Contacts(ctx)
+	fresh := cursor.readings == 0
+	page, err := d.store.Contacts(ctx, cursor.after, fresh)
+	if err == nil && len(page.Contacts) == 0 && cursor.after != "" {
+		page, err = d.store.Contacts(ctx, "", fresh) // the cursor was at the end of the list
+	}
 	if err != nil {
 		return nil, err
 	}
-	addresses := d.peers
-	for _, c := range found {
+	cursor.advance(page)
+	addresses := slices.Clone(d.peers)
+	for _, c := range page.Contacts {
 		addresses = append(addresses, c.Control)
 	}
 	d.members.Join(addresses)
-	return found, nil
-}
-
-// isListed reports whether the contacts include this instance at its present address.
-func (d *discovery) isListed(found []Contact) bool {
-	for _, c := range found {
-		if c.Name == d.self.Name && c.Control == d.self.Control {
-			return true
-		}
-	}
-	return false
+	return page.Contacts, nil
 }
 
 // register writes this instance's contact to the store.
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -17,8 +17,9 @@
 	// AwaitConfiguration waits for a configuration that is stored after a revision. If the wait ends without one, ok is
 	// false.
 	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (s StoredConfiguration, ok bool, err error)
-	// Contacts lists the registered instances.
-	Contacts(ctx context.Context) ([]Contact, error)
+	// Contacts reads a page of the registered instances, in the order of their names, starting behind a name. Unless fresh
+	// is set, it may miss changes of the last seconds.
+	Contacts(ctx context.Context, after string, fresh bool) (ContactPage, error)
 	// Register writes the contact of this instance and replaces an earlier one with the same name.
 	Register(ctx context.Context, c Contact) error
 }
@@ -38,6 +39,13 @@
 	Control netip.AddrPort
 }
 
+// ContactPage is a part of the list of registered instances.
+type ContactPage struct {
+	Contacts []Contact
+	// Next is the name behind which the next page starts, "" on the last page.
+	Next string
+}
+
 // Configuration is the operator's complete configuration.
 type Configuration struct {
 	// Version orders configurations; the highest one replaces all others.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -110,26 +111,36 @@
 }
 
 // Contacts implements sidecar.Store.
-func (h halfStore) Contacts(ctx context.Context) ([]sidecar.Contact, error) {
-	all, err := h.memoryStore.Contacts(ctx)
+func (h halfStore) Contacts(ctx context.Context, after string, fresh bool) (sidecar.ContactPage, error) {
+	all, err := h.memoryStore.Contacts(ctx, after, fresh)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.divided {
 		return all, err
 	}
-	return slices.DeleteFunc(all, func(c sidecar.Contact) bool { return !h.names[c.Name] }), err
+	all.Contacts = slices.DeleteFunc(all.Contacts, func(c sidecar.Contact) bool { return !h.names[c.Name] })
+	return all, err
 }
 
+// contactsPerPage is the size of a page of contacts, small enough that a fleet of a test has several.
+const contactsPerPage = 2
+
 // Contacts implements sidecar.Store.
-func (m *memoryStore) Contacts(context.Context) ([]sidecar.Contact, error) {
+func (m *memoryStore) Contacts(_ context.Context, after string, _ bool) (out sidecar.ContactPage, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unavailable {
-		return nil, result.New(result.PlatformUnavailable, "the store is unavailable")
+		return out, result.New(result.PlatformUnavailable, "the store is unavailable")
 	}
-	var out []sidecar.Contact
-	for _, c := range m.contacts {
-		out = append(out, c)
+	for _, name := range slices.Sorted(maps.Keys(m.contacts)) {
+		if name <= after {
+			continue
+		}
+		if len(out.Contacts) == contactsPerPage {
+			out.Next = out.Contacts[contactsPerPage-1].Name
+			break
+		}
+		out.Contacts = append(out.Contacts, m.contacts[name])
 	}
 	return out, nil
 }
