Test responses without end from a backend server

Change: a test with a server that sends header lines, a status line, informational responses, chunk sizes, extensions, trailers, chunks, second copies or a body without end, and with requests beside it.

--- /dev/null
+++ b/exit/endless_test.go
@@ -0,0 +1,169 @@
+package exit_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthstile/backend"
+	"amaranthstile/exit"
+	"amaranthstile/link"
+	"amaranthstile/membership"
+	"amaranthstile/result"
+)
+
+// endlessServer is a backend server that answers requests for /endless with a beginning and then the same bytes until
+// the connection is closed, and all others with a short response.
+type endlessServer struct {
+	net.Listener
+	beginning, repeated string
+	sent                atomic.Int64  // bytes
+	closed              chan struct{} // the connection of the endless response was closed
+}
+
+func newEndlessServer(t *testing.T, beginning, repeated string) *endlessServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &endlessServer{Listener: l, beginning: beginning, repeated: repeated, closed: make(chan struct{})}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *endlessServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if r.URL.Path != "/endless" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			continue
+		}
+		_, _ = io.WriteString(c, s.beginning)
+		block := strings.Repeat(s.repeated, 1+4096/len(s.repeated))
+		for err == nil {
+			var n int
+			n, err = io.WriteString(c, block)
+			s.sent.Add(int64(n))
+		}
+		close(s.closed)
+		return
+	}
+}
+
+// maxEndlessBytes bounds what may be read of bytes that are no response: the longest response without a length, and what
+// the buffers of the connections hold.
+const maxEndlessBytes = 16 << 20
+
+// TestBytesWithoutEnd lets a backend server send bytes without end, in a head or a body, to a client that waits at most
+// two seconds. The connection is closed in time and little is read. Unless a part of the response was passed on, the
+// client gets an error with a code, and no error states that the request was not run. Requests beside it are served.
+func TestBytesWithoutEnd(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		beginning, repeated string
+		code                result.Code // 0: the response is passed on and breaks
+	}{
+		"header lines":                {ok, "X-A: b\r\n", result.BackendAborted},
+		"header line":                 {ok + "X-A: ", "b", result.BackendAborted},
+		"status line":                 {"HTTP/1.1 200 ", "O", result.BackendAborted},
+		"no HTTP":                     {"", "x", result.BackendAborted},
+		"line feeds":                  {"", "\n", result.BackendAborted},
+		"informational responses":     {"", "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n", result.BackendAborted},
+		"bytes behind the body":       {ok + "Content-Length: 2\r\n\r\nok", "x", 0},
+		"second copies":               {ok + "Content-Length: 2\r\n\r\nok", ok + "Content-Length: 2\r\n\r\nok", 0},
+		"chunk size line":             {ok + "Transfer-Encoding: chunked\r\n\r\n", "0", 0},
+		"chunk extension":             {ok + "Transfer-Encoding: chunked\r\n\r\n1;", "x", 0},
+		"trailers":                    {ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X-A: b\r\n", 0},
+		"chunks":                      {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 0},
+		"body that ends at its close": {ok + "\r\n", "x", result.AnswerTruncated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newEndlessServer(t, c.beginning, c.repeated)
+			address := startExit(t, s.Addr().String())
+			start := time.Now()
+			resp, err := sendOverLink(t, address, "/endless")
+			if c.code != 0 {
+				is.NoErr(err)
+				is.Equal(resp.Header.Get("Amaranth-Code"), strconv.Itoa(int(c.code)))
+				is.True(resp.Header.Get("Amaranth-Run") != string(result.NotRun))
+			}
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			for range 3 {
+				beside, err := sendOverLink(t, address, "/beside")
+				is.NoErr(err)
+				body, err := io.ReadAll(beside.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "ok")
+				_ = beside.Body.Close()
+			}
+			select {
+			case <-s.closed:
+			case <-time.After(endlessTimeout + 3*time.Second):
+				t.Fatal("the connection of the endless response is still open")
+			}
+			is.True(time.Since(start) < endlessTimeout+2*time.Second)
+			if c.code != 0 || !strings.Contains(name, "chunks") { // chunks are passed on as they come, until the time limit
+				is.True(s.sent.Load() < maxEndlessBytes)
+			}
+		})
+	}
+}
+
+// endlessTimeout is the time limit of the requests.
+const endlessTimeout = 2 * time.Second
+
+// startExit starts an exit side for one backend server and returns the address of its link.
+func startExit(t *testing.T, address string) string {
+	a := backend.Announcement{ID: "b", Service: "s", Address: netip.MustParseAddrPort(address), Slots: 3, State: membership.Active}
+	set := backend.UpstreamSet{}.WithServers([]backend.Server{{Announcement: a}}, func() *http.Transport { return link.NewTransport(1, time.Minute) })
+	s := httptest.NewServer(exit.New(exit.Options{Backends: func() backend.UpstreamSet { return set }, Dialect: closeDelimited{}}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// closeDelimited is a dialect in which a response may end with its connection.
+type closeDelimited struct{ exit.NativeDialect }
+
+func (closeDelimited) ReadResponse(*http.Response, *http.Request, *backend.Upstream) exit.ResponseInfo {
+	return exit.ResponseInfo{CloseDelimited: true}
+}
+
+// sendOverLink sends a request to the exit side.
+func sendOverLink(t *testing.T, url, path string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(link.HeaderBackend, "b")
+	r.Header.Set(link.HeaderExchange, path+strconv.FormatInt(time.Now().UnixNano(), 36))
+	r.Header.Set(link.HeaderTimeout, strconv.FormatInt(endlessTimeout.Milliseconds(), 10))
+	return http.DefaultTransport.RoundTrip(r)
+}
