Contain panics in calls between instances and in attempts

Handlers of calls between instances and the attempts of repeatable requests run in goroutines of their own, where a panic ends the process. Change: a panic ends the call or the attempt, is logged as event 1006 with the stack trace and the request's ID or the method, and is counted. An attempt that panicked may have run. Result: TestPanicInAHandlerEndsOnlyItsCall and TestPanicInAnAttemptEndsOnlyTheAttempt end the test process without the change and pass with it.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"amaranthstile/internal/contain"
 	"amaranthstile/link"
 	"amaranthstile/result"
 )
@@ -214,17 +216,23 @@
 		ctx = link.WithPathProbe(ctx)
 	}
 	if !d.mayHedge() {
-		h.send(ctx, a, out, exchangeID)
-		d.results <- a
+		d.runAttempt(ctx, a, out, exchangeID)
 		return true
 	}
-	go func() {
-		h.send(ctx, a, out, exchangeID)
-		d.results <- a
-	}()
+	go d.runAttempt(ctx, a, out, exchangeID)
 	return true
 }
 
+// runAttempt sends the request and reports the outcome. A panic ends the attempt only; the request may have run by then.
+func (d *dispatch) runAttempt(ctx context.Context, a *attempt, out *http.Request, exchangeID string) {
+	h := d.handler
+	contain.Run(func() { h.send(ctx, a, out, exchangeID) }, func(reason any, stack []byte) {
+		h.options.OnPanic(d.state.request, reason, stack)
+		a.err = result.WithRun(result.New(result.Internal, "the attempt panicked"), result.MayHaveRun)
+	})
+	d.results <- a
+}
+
 // abandon cancels the attempts that are still in flight and closes the fallback response.
 func (d *dispatch) abandon() {
 	if d.fallback != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -67,6 +67,8 @@
 	ClientService func() string
 	// OnDecision is called for each request when its response begins; by default nothing is called.
 	OnDecision func(Decision)
+	// OnPanic is called when an attempt of a request panicked; by default nothing is called.
+	OnPanic func(r *http.Request, reason any, stack []byte)
 }
 
 // IdempotencyStore decides which request with an Idempotency-Key runs.
@@ -96,6 +98,9 @@
 	if o.OnDecision == nil {
 		o.OnDecision = func(Decision) {}
 	}
+	if o.OnPanic == nil {
+		o.OnPanic = func(*http.Request, any, []byte) {}
+	}
 	return &Handler{options: o}
 }
 
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -422,3 +422,40 @@
 		t.Fatal("the run at the backend server was not cancelled")
 	}
 }
+
+// panickingForwarder panics for the first attempts and then forwards.
+type panickingForwarder struct {
+	entry.Forwarder
+	panics atomic.Int32 // that are left
+}
+
+func (f *panickingForwarder) Send(ctx context.Context, addr string, req *http.Request) (*link.Exchange, error) {
+	if f.panics.Add(-1) >= 0 {
+		panic("planted")
+	}
+	return f.Forwarder.Send(ctx, addr, req)
+}
+
+// TestPanicInAnAttemptEndsOnlyTheAttempt lets attempts panic: a request that may run twice is sent again, any other one
+// gets an error that does not state that it was not run, and the process goes on.
+func TestPanicInAnAttemptEndsOnlyTheAttempt(t *testing.T) {
+	is := is.New(t)
+	p := newPipeline(t, nil, ok, ok)
+	var reported atomic.Int32
+	f := &panickingForwarder{Forwarder: p.options.Forwarder}
+	p.options.Forwarder = f
+	p.options.OnPanic = func(_ *http.Request, reason any, stack []byte) {
+		if reason == "planted" && len(stack) > 0 {
+			reported.Add(1)
+		}
+	}
+	p.listen(t)
+	f.panics.Store(1)
+	is.Equal(p.do("GET", "/open", "").status, http.StatusOK)
+	f.panics.Store(1)
+	got := p.do("POST", "/open", "")
+	is.Equal(got.code, result.Internal)
+	is.Equal(got.run, result.MayHaveRun)
+	is.Equal(reported.Load(), int32(2))
+	is.Equal(p.do("POST", "/open", "").status, http.StatusOK)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -6,6 +6,7 @@
 package event
 
 import (
+	"fmt"
 	"io"
 	"time"
 
@@ -22,6 +23,7 @@
 	InstanceDraining ID = 1003
 	InstanceStopped  ID = 1004
 	ServerFailed     ID = 1005
+	PanicContained   ID = 1006
 	SettingsReloaded ID = 1101
 	SettingsRefused  ID = 1102
 	LogDropped       ID = 1103
@@ -80,6 +82,14 @@
 	StateRefused       ID = 6110
 )
 
+// MaxStackBytes bounds the stack trace in the log line of a panic.
+const MaxStackBytes = 4 << 10
+
+// PanicFields returns the fields that describe a contained panic.
+func PanicFields(reason any, stack []byte) []Field {
+	return []Field{F("reason", fmt.Sprint(reason)), F("stack", string(stack[:min(len(stack), MaxStackBytes)]))}
+}
+
 // Entry is one row of the table of events.
 type Entry struct {
 	ID ID
@@ -98,6 +108,7 @@
 	{InstanceDraining, "instance-draining", log.InfoLevel, "A planned shutdown has begun; no new requests are accepted."},
 	{InstanceStopped, "instance-stopped", log.InfoLevel, "The planned shutdown is complete."},
 	{ServerFailed, "server-failed", log.ErrorLevel, "A listener failed; restart the instance and check its addresses."},
+	{PanicContained, "panic-contained", log.ErrorLevel, "A panic ended one request or call; the process goes on. Report the stack trace as a defect."},
 	{SettingsReloaded, "settings-reloaded", log.InfoLevel, "Changed settings are in use."},
 	{SettingsRefused, "settings-refused", log.ErrorLevel, "Changed settings are not valid; the old ones stay in use. Correct the file."},
 	{LogDropped, "log-dropped", log.WarnLevel, "Log lines were dropped since the last event of this kind, because the limit of lines per second was exceeded."},
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -219,6 +219,9 @@
 		NewExchangeID:  i.newExchangeID,
 		CheckAuthority: i.authority.Check,
 		Idempotency:    i.idempotency,
+		OnPanic: func(_ *http.Request, reason any, stack []byte) {
+			i.options.Events.Log(event.PanicContained, event.PanicFields(reason, stack)...)
+		},
 	})
 }
 
--- a/link/control_test.go
+++ b/link/control_test.go
@@ -46,6 +46,9 @@
 		if text == "wait" {
 			<-ctx.Done()
 		}
+		if text == "panic" {
+			panic("planted")
+		}
 		if text == "large" {
 			return strings.Repeat("x", link.MaxControlBytes), nil
 		}
@@ -280,3 +283,18 @@
 		cancel()
 	}
 }
+
+// TestPanicInAHandlerEndsOnlyItsCall lets a handler panic: the call fails with a code, the panic is counted, and the same
+// connection serves the next call.
+func TestPanicInAHandlerEndsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	address, server := serve(t, nil)
+	client := link.NewControlClient(link.SystemNetwork{}, nil)
+	defer client.Close()
+	var out string
+	err := client.Call(t.Context(), address, echo, "panic", &out)
+	is.Equal(result.CodeOf(err), result.Internal)
+	is.NoErr(client.Call(t.Context(), address, echo, "text", &out))
+	is.Equal(out, "text")
+	is.Equal(server.Stats().Panics, uint64(1))
+}
--- a/link/server.go
+++ b/link/server.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"amaranthstile/event"
+	"amaranthstile/internal/contain"
 	"amaranthstile/result"
 )
 
@@ -38,6 +39,8 @@
 	// connections beyond maxConnections. Busy counts calls that were rejected beyond maxInFlight.
 	Refused uint64 `json:"refused"`
 	Busy    uint64 `json:"busy"`
+	// Panics counts calls whose handler panicked.
+	Panics uint64 `json:"panics"`
 }
 
 // NewControlServer returns a server that handles only the hello and ping methods.
@@ -232,7 +235,7 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	out, err := handler(ctx, params)
+	out, err := h.server.callHandler(ctx, handler, Method(req.Method), params)
 	if err != nil {
 		return nil, rpcError(err)
 	}
@@ -246,6 +249,20 @@
 	return json.RawMessage(data), nil
 }
 
+// callHandler runs a handler. If it panics, the call fails with the code Internal.
+func (s *ControlServer) callHandler(
+	ctx context.Context, handler HandlerFunc, m Method, params json.RawMessage,
+) (out any, err error) {
+	contain.Run(func() { out, err = handler(ctx, params) }, func(reason any, stack []byte) {
+		s.mu.Lock()
+		s.stats.Panics++
+		s.mu.Unlock()
+		s.logger.Log(event.PanicContained, append(event.PanicFields(reason, stack), event.F("method", string(m)))...)
+		out, err = nil, result.New(result.Internal, "the handler of %s panicked", m)
+	})
+	return out, err
+}
+
 // maxResultBytes leaves room for the JSON-RPC envelope of a result.
 const maxResultBytes = MaxControlBytes - 1<<10
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -199,6 +199,7 @@
 		WriteError:          i.options.WriteError,
 		ClientService:       func() string { return *i.service.Load() },
 		OnDecision:          i.onDecision,
+		OnPanic:             i.onPanic,
 		PassIdempotencyKeys: true,
 		ProbeIdleLinks:      true,
 	})
@@ -251,6 +252,11 @@
 	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
 }
 
+// onPanic logs that an attempt of a request panicked.
+func (i *Instance) onPanic(r *http.Request, reason any, stack []byte) {
+	i.options.Events.Log(event.PanicContained, append(event.PanicFields(reason, stack), event.F("request", i.options.RequestID(r)))...)
+}
+
 // serve serves a listener with a new server.
 func (i *Instance) serve(l net.Listener, h http.Handler) {
 	i.serveWith(httpserver.NewInternalServer(h), l)
