Estimate durations from the target at first, and keep the promise to a waiting request

A gate expected 200 ms of every route at first and followed the true duration slowly, and a request that was let wait was refused when the estimate rose because one exchange took longer. Change: the first expectation is a third of the target, the first exchanges replace it quickly, and only a request that was overtaken by more urgent ones is refused later because of the rest of the running requests.

--- a/backend/admission/controller.go
+++ b/backend/admission/controller.go
@@ -11,8 +11,10 @@
 const (
 	// durationWeight is the weight of one exchange in the moving average of its route's durations.
 	durationWeight = 0.15
-	// initialDuration is the expected duration of a route before any exchange of it was observed.
+	// initialDuration is the expected duration of a route without a target before any exchange of it was observed.
 	initialDuration = 200 * time.Millisecond
+	// initialTargetShare is the share of a route's target that an exchange is expected to take before any was observed.
+	initialTargetShare = 3
 	// maxRoutes limits the number of routes whose durations are kept.
 	maxRoutes = 1024
 	// waitersPerSlot limits the length of the queue.
@@ -29,6 +31,8 @@
 	expectedDuration time.Duration
 	missesTarget     bool // when it arrived, the request could not meet its target any more
 	sequence         uint64
+	overtaken        bool      // a more urgent request arrived later and waits before it
+	startedAt        time.Time // when it got its slot
 	trial            bool
 	granted          chan error // set by Gate; receives nil for a slot, or the reason of a refusal
 }
@@ -49,7 +53,19 @@
 	running    map[*Waiter]struct{}
 	waiting    []*Waiter // in the order in which they are granted slots
 	sequence   uint64
-	durations  map[string]time.Duration // moving average of the duration of exchanges, by route
+	durations  map[string]*routeDuration // by route
+}
+
+// routeDuration is the moving average of the durations of a route's exchanges.
+type routeDuration struct {
+	mean    time.Duration
+	samples float64 // in mean, where the initial expectation counts as one; at most 1/durationWeight
+}
+
+// add adds the duration of an exchange. The first ones replace the initial expectation quickly.
+func (d *routeDuration) add(took time.Duration) {
+	d.samples = min(d.samples+1, 1/durationWeight)
+	d.mean += time.Duration(float64(took-d.mean) / d.samples)
 }
 
 // NewController returns a controller for the given number of slots, all free. bound returns this gate's share of the
@@ -57,7 +73,7 @@
 func NewController(slots int, bound func() RetryBound) *Controller {
 	return &Controller{
 		slots: slots, retryBound: bound,
-		running: make(map[*Waiter]struct{}), durations: make(map[string]time.Duration),
+		running: make(map[*Waiter]struct{}), durations: make(map[string]*routeDuration),
 	}
 }
 
@@ -77,7 +93,7 @@
 		return nil, false, result.WithRetryAfter(result.New(result.BackendEjected,
 			"the circuit breaker of the backend server does not admit the request"), after)
 	}
-	w = &Waiter{request: r, deadline: deadline, expectedDuration: c.expectedDuration(r.Route), sequence: c.sequence}
+	w = &Waiter{request: r, deadline: deadline, expectedDuration: c.duration(now, r).mean, sequence: c.sequence}
 	if r.NestedCall {
 		w.request.SoftDeadline = time.Time{} // only the time limit of the calling request matters, which is the deadline here
 	}
@@ -94,15 +110,27 @@
 		return nil, false, err
 	}
 	c.waiting = slices.Insert(c.waiting, at, w)
+	for _, behind := range c.waiting[at+1:] {
+		behind.overtaken = true
+	}
 	return w, false, nil
 }
 
-// expectedDuration returns the expected duration of an exchange of a route.
-func (c *Controller) expectedDuration(route string) time.Duration {
-	if d, ok := c.durations[route]; ok {
+// duration returns the durations of a request's route. A route that is not known yet starts with an expectation from the
+// target of the request.
+func (c *Controller) duration(now time.Time, r backend.SlotRequest) *routeDuration {
+	if d, ok := c.durations[r.Route]; ok {
 		return d
 	}
-	return initialDuration
+	d := &routeDuration{mean: initialDuration, samples: 1}
+	if left := r.SoftDeadline.Sub(now); !r.SoftDeadline.IsZero() && left > 0 {
+		d.mean = left / initialTargetShare
+	}
+	if len(c.durations) >= maxRoutes {
+		clear(c.durations)
+	}
+	c.durations[r.Route] = d
+	return d
 }
 
 // compareWaiters orders requests that can meet their target before those that cannot, then by priority. Among equal
@@ -156,12 +184,33 @@
 	for w := range c.running {
 		work += w.expectedDuration / 2
 	}
+	return work/time.Duration(max(c.slots, 1)) + c.waitOf(at)
+}
+
+// waitOf returns the time that the requests before a position in the queue take, shared among the slots.
+func (c *Controller) waitOf(at int) time.Duration {
+	var work time.Duration
 	for _, w := range c.waiting[:at] {
 		work += w.expectedDuration
 	}
 	return work / time.Duration(max(c.slots, 1))
 }
 
+// shortestWait estimates the time until the request at the given position in the queue is granted a slot, as far as it is
+// certain. A request that was overtaken waits for the rest of the running requests, too; for any other one, that was part
+// of the estimate on which it was let wait, and one exchange that takes longer than expected must not end its wait.
+func (c *Controller) shortestWait(now time.Time, at int) time.Duration {
+	wait := c.waitOf(at)
+	if !c.waiting[at].overtaken {
+		return wait
+	}
+	var work time.Duration
+	for w := range c.running {
+		work += max(w.expectedDuration-now.Sub(w.startedAt), 0)
+	}
+	return wait + work/time.Duration(max(c.slots, 1))
+}
+
 // startsTooLate reports whether a request that starts at the given time would end after its target, or after its
 // deadline if it has no target or could not meet it when it arrived.
 func (w *Waiter) startsTooLate(start time.Time) bool {
@@ -181,6 +230,7 @@
 		return result.New(result.RetryBudgetSpent, "the retry budget of the backend server is spent")
 	}
 	c.running[w] = struct{}{}
+	w.startedAt = now
 	w.trial = c.breaker.Begin()
 	return nil
 }
@@ -217,14 +267,13 @@
 	return append(out, c.refuseLate(now)...)
 }
 
-// refuseLate removes the waiting requests that would start too late and returns their refusals.
+// refuseLate removes the waiting requests that would start too late, and returns their refusals.
 func (c *Controller) refuseLate(now time.Time) []Grant {
 	var out []Grant
 	for at := 0; at < len(c.waiting); {
-		wait := c.estimateWait(at)
-		if w := c.waiting[at]; w.startsTooLate(now.Add(wait)) {
+		if w := c.waiting[at]; w.startsTooLate(now.Add(c.shortestWait(now, at))) {
 			c.waiting = slices.Delete(c.waiting, at, at+1)
-			out = append(out, Grant{Waiter: w, Err: waitTooLongError(wait)})
+			out = append(out, Grant{Waiter: w, Err: waitTooLongError(c.estimateWait(at))})
 			continue
 		}
 		at++
@@ -235,15 +284,12 @@
 // Observe records how an exchange of a route ended. If this opens the circuit breaker, all waiting requests are refused
 // and returned, so that they can go to another endpoint while there is time.
 func (c *Controller) Observe(now time.Time, o backend.Outcome, route string, took time.Duration) []Grant {
-	expected := c.expectedDuration(route)
+	d := c.duration(now, backend.SlotRequest{Route: route})
 	switch o {
 	case backend.OutcomeAnswered:
-		if _, ok := c.durations[route]; !ok && len(c.durations) >= maxRoutes {
-			clear(c.durations)
-		}
-		c.durations[route] = expected + time.Duration(durationWeight*float64(took-expected))
+		d.add(took)
 	case backend.OutcomeTimeout:
-		if took < hangFactor*expected {
+		if took < hangFactor*d.mean {
 			o = backend.OutcomeCancelled
 		}
 	}
