--- a/entry/pipelining/ahead.go
+++ b/entry/pipelining/ahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"runtime/debug"
@@ -29,11 +30,12 @@
 	defer close(a.done)
 	defer a.cancel()
 	defer func() {
-		v := recover()
-		a.aborted = v != nil
-		if v != nil && v != http.ErrAbortHandler {
-			report("http: panic serving %v: %v\n%s", r.RemoteAddr, v, debug.Stack())
+		reason := recover()
+		a.aborted = reason != nil
+		if err, ok := reason.(error); ok && errors.Is(err, http.ErrAbortHandler) || reason == nil {
+			return
 		}
+		report("http: panic serving %v: %v\n%s", r.RemoteAddr, reason, debug.Stack())
 	}()
 	h.ServeHTTP(a.response, r)
 	a.response.finish()
--- a/entry/pipelining/head_test.go
+++ b/entry/pipelining/head_test.go
@@ -30,31 +30,43 @@
 		f.Add([]byte(seed), byte(7))
 	}
 	f.Fuzz(func(t *testing.T, b []byte, piece byte) {
-		var whole, pieces headScanner
+		var whole headScanner
 		n, complete := whole.scan(b)
-		m, completeInPieces := 0, false
-		for rest := b; len(rest) > 0 && !completeInPieces && !pieces.opaque; {
-			part := rest[:min(int(piece)+1, len(rest))]
-			used, done := pieces.scan(part)
-			m, completeInPieces, rest = m+used, done, rest[len(part):]
-		}
-		if complete != completeInPieces || whole.opaque != pieces.opaque || complete && n != m {
+		m, completeInPieces, opaque := scanInPieces(b, int(piece)+1)
+		if complete != completeInPieces || whole.opaque != opaque || complete && n != m {
 			t.Fatalf("whole: %d %v, in pieces: %d %v", n, complete, m, completeInPieces)
 		}
-		if !complete {
-			return
-		}
-		in := bufio.NewReaderSize(bytes.NewReader(b), 16)
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return // the server refuses the request and closes the connection
-		}
-		if length := max(r.ContentLength, 0); length != whole.bodyLength || len(r.TransferEncoding) > 0 || r.Close {
-			t.Fatalf("net/http: length %d, %v, close %v; scanner: length %d", r.ContentLength, r.TransferEncoding, r.Close, whole.bodyLength)
-		}
-		rest, err := io.ReadAll(io.MultiReader(in))
-		if err != nil || !bytes.Equal(rest, b[n:]) {
-			t.Fatalf("net/http leaves %q behind the head, the scanner %q", rest, b[n:])
+		if complete {
+			compareWithServer(t, b, n, whole.bodyLength)
 		}
 	})
 }
+
+// scanInPieces scans the bytes in pieces of the given size.
+func scanInPieces(b []byte, size int) (n int, complete, opaque bool) {
+	var s headScanner
+	for len(b) > 0 && !complete && !s.opaque {
+		piece := b[:min(size, len(b))]
+		var used int
+		used, complete = s.scan(piece)
+		n += used
+		b = b[len(piece):]
+	}
+	return n, complete, s.opaque
+}
+
+// compareWithServer checks that net/http finds the end of the head and the length of the body where the scanner did.
+func compareWithServer(t *testing.T, b []byte, n int, bodyLength int64) {
+	in := bufio.NewReaderSize(bytes.NewReader(b), 16)
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return // the server refuses the request and closes the connection
+	}
+	if max(r.ContentLength, 0) != bodyLength || len(r.TransferEncoding) > 0 || r.Close {
+		t.Fatalf("net/http: length %d, %v, close %v; scanner: length %d", r.ContentLength, r.TransferEncoding, r.Close, bodyLength)
+	}
+	rest, err := io.ReadAll(in)
+	if err != nil || !bytes.Equal(rest, b[n:]) {
+		t.Fatalf("net/http leaves %q behind the head, the scanner %q", rest, b[n:])
+	}
+}
