Let no route of equal priority wait longer than the least patient one can

Downloads have a target of 4 s, vouchers of 2 s: the downloads fill the queue up to their own patience, and a voucher finds room only when it is empty. Change: among requests of equal priority none may wait longer than those of the least patient route of the last 5 s can, but at least for the duration of one exchange.

--- a/backend/admission/controller.go
+++ b/backend/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	initialDuration = 200 * time.Millisecond
 	// initialTargetShare is the share of a route's target that an exchange is expected to take before any was observed.
 	initialTargetShare = 3
+	// recentWindow is how long a route counts as in use after its last request arrived.
+	recentWindow = 5 * time.Second
 	// maxRoutes limits the number of routes whose durations are kept.
 	maxRoutes = 1024
 	// waitersPerSlot limits the length of the queue.
@@ -40,6 +43,10 @@
 // Controller is the admission controller of one backend server. It is a plain state machine and not safe for concurrent
 // use.
 //
+// Among requests of equal priority, none may wait longer than those of the least patient route in use can: otherwise the
+// requests of a route with a distant target would fill the queue, and those with a near one would be served only when it
+// is empty.
+//
 // It is designed for sustained overload, with more requests than slots for seconds. A request that waits until its
 // response has lost most of its value would take a slot from a request that could still be served in time, and both
 // would lose. A request that waiting keeps from meeting its target is therefore refused when it arrives, or as soon as
@@ -53,19 +60,35 @@
 	running    map[*Waiter]struct{}
 	waiting    []*Waiter // in the order in which they are granted slots
 	sequence   uint64
-	durations  map[string]*routeDuration // by route
+	routes     map[string]*routeStats
 }
 
-// routeDuration is the moving average of the durations of a route's exchanges.
-type routeDuration struct {
-	mean    time.Duration
-	samples float64 // in mean, where the initial expectation counts as one; at most 1/durationWeight
+// routeStats is what a Controller knows of a route.
+type routeStats struct {
+	mean     time.Duration // moving average of the durations of exchanges
+	samples  float64       // in mean, where the initial expectation counts as one; at most 1/durationWeight
+	patience time.Duration // moving average of the waits with which requests could still meet their target
+	priority int           // of the last request with a target
+	lastSeen time.Time     // when the last request with a target arrived; zero before
 }
 
 // add adds the duration of an exchange. The first ones replace the initial expectation quickly.
-func (d *routeDuration) add(took time.Duration) {
-	d.samples = min(d.samples+1, 1/durationWeight)
-	d.mean += time.Duration(float64(took-d.mean) / d.samples)
+func (r *routeStats) add(took time.Duration) {
+	r.samples = min(r.samples+1, 1/durationWeight)
+	r.mean += time.Duration(float64(took-r.mean) / r.samples)
+}
+
+// recordArrival records the arrival of a request.
+func (r *routeStats) recordArrival(now time.Time, w *Waiter) {
+	if w.request.SoftDeadline.IsZero() || w.missesTarget {
+		return
+	}
+	patience := w.request.SoftDeadline.Sub(now) - r.mean
+	if r.lastSeen.IsZero() {
+		r.patience = patience
+	}
+	r.patience += time.Duration(durationWeight * float64(patience-r.patience))
+	r.priority, r.lastSeen = w.request.Priority, now
 }
 
 // NewController returns a controller for the given number of slots, all free. bound returns this gate's share of the
@@ -73,7 +96,7 @@
 func NewController(slots int, bound func() RetryBound) *Controller {
 	return &Controller{
 		slots: slots, retryBound: bound,
-		running: make(map[*Waiter]struct{}), durations: make(map[string]*routeDuration),
+		running: make(map[*Waiter]struct{}), routes: make(map[string]*routeStats),
 	}
 }
 
@@ -93,11 +116,13 @@
 		return nil, false, result.WithRetryAfter(result.New(result.BackendEjected,
 			"the circuit breaker of the backend server does not admit the request"), after)
 	}
-	w = &Waiter{request: r, deadline: deadline, expectedDuration: c.duration(now, r).mean, sequence: c.sequence}
+	route := c.route(now, r)
+	w = &Waiter{request: r, deadline: deadline, expectedDuration: route.mean, sequence: c.sequence}
 	if r.NestedCall {
 		w.request.SoftDeadline = time.Time{} // only the time limit of the calling request matters, which is the deadline here
 	}
 	w.missesTarget = !w.request.SoftDeadline.IsZero() && now.Add(w.expectedDuration).After(w.request.SoftDeadline)
+	route.recordArrival(now, w)
 	c.sequence++
 	if len(c.running) < c.slots && len(c.waiting) == 0 {
 		if err := c.takeSlot(now, w); err != nil {
@@ -116,21 +141,21 @@
 	return w, false, nil
 }
 
-// duration returns the durations of a request's route. A route that is not known yet starts with an expectation from the
+// route returns what is known of a request's route. A route that is not known yet starts with an expectation from the
 // target of the request.
-func (c *Controller) duration(now time.Time, r backend.SlotRequest) *routeDuration {
-	if d, ok := c.durations[r.Route]; ok {
-		return d
+func (c *Controller) route(now time.Time, r backend.SlotRequest) *routeStats {
+	if known, ok := c.routes[r.Route]; ok {
+		return known
 	}
-	d := &routeDuration{mean: initialDuration, samples: 1}
+	route := &routeStats{mean: initialDuration, samples: 1}
 	if left := r.SoftDeadline.Sub(now); !r.SoftDeadline.IsZero() && left > 0 {
-		d.mean = left / initialTargetShare
+		route.mean = left / initialTargetShare
 	}
-	if len(c.durations) >= maxRoutes {
-		clear(c.durations)
+	if len(c.routes) >= maxRoutes {
+		clear(c.routes)
 	}
-	c.durations[r.Route] = d
-	return d
+	c.routes[r.Route] = route
+	return route
 }
 
 // compareWaiters orders requests that can meet their target before those that cannot, then by priority. Among equal
@@ -164,12 +189,27 @@
 		return result.WithRetryAfter(result.New(result.BackendBusy, "no slot is free"), wait)
 	case len(c.waiting) >= waitersPerSlot*c.slots:
 		return result.WithRetryAfter(result.New(result.QueueFull, "%d requests are already waiting", len(c.waiting)), wait)
-	case w.startsTooLate(now.Add(wait)):
+	case w.startsTooLate(now.Add(wait)), wait > c.longestWait(now, w):
 		return waitTooLongError(wait)
 	}
 	return nil
 }
 
+// longestWait returns how long a request may wait so that requests of equal priority whose target is nearer find room in
+// the queue. It is at least the duration of one exchange, which keeps the slots in use.
+func (c *Controller) longestWait(now time.Time, w *Waiter) time.Duration {
+	longest := time.Duration(math.MaxInt64)
+	if w.request.NestedCall || w.request.SoftDeadline.IsZero() {
+		return longest
+	}
+	for _, r := range c.routes {
+		if r.priority == w.request.Priority && now.Sub(r.lastSeen) < recentWindow {
+			longest = min(longest, r.patience)
+		}
+	}
+	return max(longest, w.expectedDuration)
+}
+
 // waitTooLongError returns the refusal of a request whose estimated wait is too long.
 func waitTooLongError(wait time.Duration) error {
 	return result.WithRetryAfter(result.New(result.BackendBusy,
@@ -284,12 +324,12 @@
 // Observe records how an exchange of a route ended. If this opens the circuit breaker, all waiting requests are refused
 // and returned, so that they can go to another endpoint while there is time.
 func (c *Controller) Observe(now time.Time, o backend.Outcome, route string, took time.Duration) []Grant {
-	d := c.duration(now, backend.SlotRequest{Route: route})
+	stats := c.route(now, backend.SlotRequest{Route: route})
 	switch o {
 	case backend.OutcomeAnswered:
-		d.add(took)
+		stats.add(took)
 	case backend.OutcomeTimeout:
-		if took < hangFactor*d.mean {
+		if took < hangFactor*stats.mean {
 			o = backend.OutcomeCancelled
 		}
 	}
