--- a/instance/stats_metrics_test.go
+++ b/instance/stats_metrics_test.go
@@ -31,7 +31,7 @@
 		names string
 	}{
 		{"membership", membership.Stats{}, "answers_dropped bytes_sent failed health indirect_probes late_ticks members probes probes_failed queue received records_refused refuted sent suspected suspects tombstones wrong_target"},
-		{"links", link.ControlStats{}, "busy calls connections refused"},
+		{"links", link.ControlStats{}, "busy calls connections panics refused"},
 		{"control", link.TrafficStats{}, "bytes messages"},
 		{"spread", ReplicationStats{}, "entries fetches fetches_failed served"},
 		{"standing", StandingState{}, "counts_pending counts_relay_credits counts_round_credits counts_rounds credit_millis epoch homes witness witnesses"},
