--- a/membership/directory.go
+++ b/membership/directory.go
@@ -8,10 +8,10 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -218,19 +218,23 @@
 	return out
 }
 
-// ShardOwner returns the instance that rendezvous hashing ranks first for a shard, so that all instances with the
-// same view agree on it. Leaving instances are skipped; the result is empty if no other instance is known.
-func (d *Directory) ShardOwner(shard uint64) ID {
-	var best ID
-	var bestRank uint64
+// ShardOwners returns, for each of n shards, the instance that rendezvous hashing ranks first, so that all instances with
+// the same view agree on it. Leaving instances are skipped; an owner is empty if no other instance is known.
+func (d *Directory) ShardOwners(n int) []ID {
+	owners, ranks := make([]ID, n), make([]uint64, n)
+	var key [16]byte // hash of the instance, number of the shard
 	for id, r := range d.records {
 		if r.Leaving {
 			continue
 		}
-		rank := xxhash.Sum64String(string(id)+"\x00"+strconv.FormatUint(shard, 10)) | 1
-		if rank > bestRank || rank == bestRank && id < best {
-			best, bestRank = id, rank
+		binary.LittleEndian.PutUint64(key[:8], xxhash.Sum64String(string(id)))
+		for shard := range n {
+			binary.LittleEndian.PutUint64(key[8:], uint64(shard))
+			rank := xxhash.Sum64(key[:]) | 1
+			if rank > ranks[shard] || rank == ranks[shard] && id < owners[shard] {
+				owners[shard], ranks[shard] = id, rank
+			}
 		}
 	}
-	return best
+	return owners
 }
--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -29,13 +29,9 @@
 }
 
 func newCoordinatorTable(d *membership.Directory) *coordinatorTable {
-	t := &coordinatorTable{
-		directory: d, coordinators: make([]membership.ID, max(len(d.Records())/instancesPerCoordinator, 1)),
+	return &coordinatorTable{
+		directory: d, coordinators: d.ShardOwners(max(len(d.Records())/instancesPerCoordinator, 1)),
 	}
-	for shard := range t.coordinators {
-		t.coordinators[shard] = d.ShardOwner(uint64(shard))
-	}
-	return t
 }
 
 // coordinatorOf returns the coordinator of an account. With a consistent hash, an additional shard takes over accounts
--- a/sidecar/coordinators_test.go
+++ b/sidecar/coordinators_test.go
@@ -52,3 +52,21 @@
 		}
 	}
 }
+
+// BenchmarkCoordinatorTable ranks the coordinators for one view of the fleet, as happens after each change of the
+// membership.
+func BenchmarkCoordinatorTable(b *testing.B) {
+	for _, instances := range []int{352, 2800, 4891} {
+		records := make(map[membership.ID]*membership.Record)
+		for n := range instances {
+			id := membership.ID(fmt.Sprintf("%012x", n))
+			records[id] = &membership.Record{ID: id}
+		}
+		d := membership.NewDirectory(records)
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			for b.Loop() {
+				newCoordinatorTable(d)
+			}
+		})
+	}
+}
