Read contacts seldom while only departed instances are unknown

Cause: reading the diff again: while a page lists instances that the membership does not know, the next page was read after 1.5 s. Entries of instances that left for good stay in the store, so that an instance would never have stopped. Change: the interval grows from 1.5 s by four up to a minute then; only an instance that is alone reads on at 1.5 s. Result: TestContactsOfDepartedInstancesCauseFewReadings: at most two readings more in ten minutes than without such entries; some 400 before.

--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -16,9 +16,11 @@
 
 const (
 	// initialContactInterval is the time until contacts are read for the second time, and between readings while no other
-	// instance is known or while unknown ones are found: by then, instances that started at the same time have
-	// registered.
+	// instance is known: by then, instances that started at the same time have registered. While unknown instances are
+	// listed, the interval grows by contactIntervalGrowth, since these may have left for good; otherwise it is
+	// maxContactInterval.
 	initialContactInterval = 1500 * time.Millisecond
+	contactIntervalGrowth  = 4
 	maxContactInterval     = time.Minute
 	// maxSyncsPerRead bounds the listed but unknown instances that an instance synchronizes with after each reading. One
 	// synchronization exchanges the complete views, so a few are enough to merge the two parts of a divided fleet.
@@ -55,6 +57,7 @@
 	d.members.Join(d.peers)
 	backoff := wait.Backoff{Min: minBackoff, Max: maxBackoff}
 	cursor := contactCursor{after: d.self.Name}
+	interval := time.Duration(0)
 	for ctx.Err() == nil {
 		found, err := d.registerAndRead(ctx, &cursor)
 		if err != nil {
@@ -62,14 +65,24 @@
 			continue
 		}
 		backoff.Reset()
-		interval := maxContactInterval
-		if d.syncWithUnknown(found) > 0 || cursor.readings < 2 || len(d.members.Directory().Records()) <= 1 {
-			interval = initialContactInterval
-		}
+		foundUnknown := d.syncWithUnknown(found) > 0
+		interval = nextContactInterval(interval, cursor.readings, foundUnknown, len(d.members.Directory().Records()) <= 1)
 		wait.Sleep(ctx, interval/2+rand.N(interval))
 	}
 }
 
+// nextContactInterval returns the mean time until the next reading. The interval before the first one is 0; alone reports
+// that no other instance is known.
+func nextContactInterval(last time.Duration, readings int, foundUnknown, alone bool) time.Duration {
+	switch {
+	case alone || readings == 1:
+		return initialContactInterval
+	case foundUnknown:
+		return min(contactIntervalGrowth*max(last, initialContactInterval), maxContactInterval)
+	}
+	return maxContactInterval
+}
+
 // registerAndRead registers this instance, unless it is registered, and reads the next contacts, which needs no
 // registration.
 func (d *discovery) registerAndRead(ctx context.Context, cursor *contactCursor) ([]Contact, error) {
--- a/sidecar/discovery_test.go
+++ b/sidecar/discovery_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 )
 
 // contactsPerPage is the size of a page of contacts, as in the platform's store.
@@ -125,3 +128,21 @@
 		}
 	}
 }
+
+// TestContactsOfDepartedInstancesCauseFewReadings lists instances that never join, as after a scale-in: within ten minutes
+// an instance reads few pages more than without them. An instance that is alone goes on reading often.
+func TestContactsOfDepartedInstancesCauseFewReadings(t *testing.T) {
+	readings := func(foundUnknown, alone bool) int {
+		n := 0
+		interval := time.Duration(0)
+		for elapsed := time.Duration(0); elapsed < 10*time.Minute; elapsed += interval {
+			n++
+			interval = nextContactInterval(interval, n, foundUnknown, alone)
+		}
+		return n
+	}
+	is := is.New(t)
+	is.Equal(readings(false, false), 11) // the first two, then one a minute
+	is.True(readings(true, false) <= readings(false, false)+2)
+	is.True(readings(false, true) >= 400)
+}
