--- a/membership/directory.go
+++ b/membership/directory.go
@@ -8,10 +8,10 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -222,15 +222,15 @@
 // the same view agree on it. Leaving instances are skipped; an owner is empty if no other instance is known.
 func (d *Directory) ShardOwners(n int) []ID {
 	owners, ranks := make([]ID, n), make([]uint64, n)
-	var key [16]byte // hash of the instance, number of the shard
+	var key []byte
 	for id, r := range d.records {
 		if r.Leaving {
 			continue
 		}
-		binary.LittleEndian.PutUint64(key[:8], xxhash.Sum64String(string(id)))
+		key = append(append(key[:0], id...), 0)
 		for shard := range n {
-			binary.LittleEndian.PutUint64(key[8:], uint64(shard))
-			rank := xxhash.Sum64(key[:]) | 1
+			key = strconv.AppendInt(key[:len(id)+1], int64(shard), 10)
+			rank := xxhash.Sum64(key) | 1
 			if rank > ranks[shard] || rank == ranks[shard] && id < owners[shard] {
 				owners[shard], ranks[shard] = id, rank
 			}
--- a/quota/takeover.go
+++ b/quota/takeover.go
@@ -6,7 +6,7 @@
 // gone: the longest suspicion timeout of the membership (8 s) plus the preceding round of probes.
 const maxViewDelay = 10 * time.Second
 
-// Takeover tracks the move of an account to this coordinator from another one. It is a plain state machine and not safe
+// Takeover tracks the move of accounts to this coordinator from another one. It is a plain state machine and not safe
 // for concurrent use; in the zero value, no move is under way.
 //
 // Until an instance learns of the move, it spends its own share of each account. Therefore the coordinator hands out
@@ -39,40 +39,3 @@
 	}
 	return min(float64(len(t.calledBy))/float64(max(instances, 1)), 1)
 }
-
-// Takeovers tracks the moves of all accounts of a coordinator. It is a plain state machine and not safe for concurrent
-// use; in the zero value, no move is under way.
-type Takeovers struct {
-	byAccount map[string]*Takeover // of accounts whose move some instances may not know of
-}
-
-// RecordCall records a call of an instance, and the accounts that had another coordinator before, as far as that
-// instance knows. The call also counts for the other accounts that moved here: the instance has learned of this
-// coordinator.
-func (t *Takeovers) RecordCall(now time.Time, instance string, moved []string) {
-	for _, account := range moved {
-		if t.byAccount == nil {
-			t.byAccount = make(map[string]*Takeover)
-		}
-		if t.byAccount[account] == nil {
-			t.byAccount[account] = &Takeover{}
-		}
-		t.byAccount[account].RecordCall(now, instance, true)
-	}
-	for account, x := range t.byAccount {
-		if !x.active(now) {
-			delete(t.byAccount, account)
-			continue
-		}
-		x.RecordCall(now, instance, false)
-	}
-}
-
-// Fraction returns the fraction of an account's rate that the coordinator may hand out, in a fleet of so many instances.
-func (t *Takeovers) Fraction(now time.Time, account string, instances int) float64 {
-	x := t.byAccount[account]
-	if x == nil {
-		return 1
-	}
-	return x.Fraction(now, instances)
-}
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -223,23 +222,3 @@
 			refused, sent, maxViewDelay)
 	}
 }
-
-// TestTakeoverBindsOnlyTheAccountsThatMoved moves one of two accounts to a coordinator: the other one keeps its whole
-// rate, and the one that moved gets the shares of the instances that have called, until all have learned of the move.
-func TestTakeoverBindsOnlyTheAccountsThatMoved(t *testing.T) {
-	is := is.New(t)
-	const instances = 4
-	now := time.Unix(1000, 0)
-	var moves Takeovers
-	moves.RecordCall(now, "a", nil)
-	is.Equal(moves.Fraction(now, "moved", instances), 1.0)
-	moves.RecordCall(now, "a", []string{"moved"})
-	moves.RecordCall(now.Add(time.Second), "a", []string{"moved"})
-	is.Equal(moves.Fraction(now, "moved", instances), 0.25)
-	is.Equal(moves.Fraction(now, "other", instances), 1.0)
-	moves.RecordCall(now.Add(time.Second), "b", nil)
-	is.Equal(moves.Fraction(now.Add(time.Second), "moved", instances), 0.5)
-	is.Equal(moves.Fraction(now.Add(maxViewDelay), "moved", instances), 1.0)
-	moves.RecordCall(now.Add(maxViewDelay), "c", nil)
-	is.Equal(len(moves.byAccount), 0)
-}
--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -67,13 +67,13 @@
 	return max(len(q.instance.members.Directory().Records()), 1)
 }
 
-// grantableShare returns the share of an account's rate that this coordinator may grant. It is the product of two
+// grantableShare returns the share of the accounts' rates that this coordinator may grant. It is the product of two
 // shares: the instances it sees, of the most that it saw recently, since the others may be partitioned off with a
-// coordinator of their own; and, if the account moved here from another coordinator, the instances that have called
-// since. The calling function holds the lock.
-func (q *quotas) grantableShare(now time.Time, account string) float64 {
+// coordinator of their own; and the instances that already moved to it from another coordinator. The calling function
+// holds the lock.
+func (q *quotas) grantableShare(now time.Time) float64 {
 	seen := q.instanceCount()
-	return float64(seen) / float64(q.fleet.largest(now, seen)) * q.takeovers.Fraction(now, account, seen)
+	return float64(seen) / float64(q.fleet.largest(now, seen)) * q.takeover.Fraction(now, seen)
 }
 
 // fleetSize tracks the largest number of instances that was seen recently. The zero value has seen none.
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -42,8 +42,7 @@
 	Coordinator membership.ID `json:"home"`
 	From        membership.ID `json:"from"`
 	Relayed     bool          `json:"relayed,omitempty"`
-	// Moved is set if some of the accounts had another coordinator before, as far as From has observed. An instance of
-	// an earlier version does not state which ones.
+	// Moved is set if some of the accounts had another coordinator before, as far as From has observed.
 	Moved    bool             `json:"moved,omitempty"`
 	Accounts map[string]usage `json:"accounts"`
 }
@@ -54,28 +53,10 @@
 	Spent int `json:"spent,omitempty"`
 	// Requested is the number of requests that wait for the coordinator's decision.
 	Requested int `json:"asked,omitempty"`
-	// Moved is set if the account had another coordinator before, as far as the instance has observed.
-	Moved bool `json:"moved,omitempty"`
 	// LastKnown is the level of the account that the instance last received from another coordinator.
 	LastKnown *quota.KnownLevel `json:"known,omitempty"`
 }
 
-// movedAccounts returns the accounts that had another coordinator before. If the sender does not state which ones, all
-// may have.
-func (r usageRequest) movedAccounts() []string {
-	var moved, all []string
-	for name, u := range r.Accounts {
-		all = append(all, name)
-		if u.Moved {
-			moved = append(moved, name)
-		}
-	}
-	if r.Moved && len(moved) == 0 {
-		return all
-	}
-	return moved
-}
-
 type usageResponse struct {
 	Accounts map[string]quota.BucketState `json:"accounts"`
 }
@@ -93,7 +74,7 @@
 	localQuotas map[string]*quota.LocalLimiter  // by account
 	buckets     map[string]*quota.AccountBucket // of the accounts whose coordinator is this instance
 	queues      map[membership.ID]*usageQueue
-	takeovers   quota.Takeovers // of accounts to this coordinator
+	takeover    quota.Takeover // of accounts to this coordinator
 	fleet       fleetSize
 }
 
@@ -277,8 +258,7 @@
 			if known, ok := local.LevelFromOtherCoordinator(now, string(uq.id)); ok {
 				u.LastKnown = &known
 			}
-			u.Moved = local.CoordinatorChanged(now, string(uq.id))
-			request.Moved = request.Moved || u.Moved
+			request.Moved = request.Moved || local.CoordinatorChanged(now, string(uq.id))
 		}
 		if p.decision == nil {
 			u.Spent++
@@ -423,7 +403,8 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.takeovers.RecordCall(now, string(request.From), request.movedAccounts())
+	q.takeover.RecordCall(now, string(request.From), request.Moved)
+	share := q.grantableShare(now)
 	for name, u := range request.Accounts {
 		if view == nil {
 			continue
@@ -438,7 +419,7 @@
 			bucket = &quota.AccountBucket{}
 			q.buckets[name] = bucket
 		}
-		bucket.SetLimits(now, rate*q.grantableShare(now, name), burst)
+		bucket.SetLimits(now, rate*share, burst)
 		if u.LastKnown != nil {
 			bucket.ApplyReport(now, *u.LastKnown)
 		}
