--- a/backend/admission/controller.go
+++ b/backend/admission/controller.go
@@ -14,8 +14,8 @@
 	durationWeight = 0.15
 	// initialDuration is the expected duration of a route without a target before any exchange of it was observed.
 	initialDuration = 200 * time.Millisecond
-	// initialTargetShare is the share of a route's target that an exchange is expected to take before any was observed.
-	initialTargetShare = 3
+	// initialTargetDivisor divides the target of a route to give the expected duration before any exchange was observed.
+	initialTargetDivisor = 3
 	// recentWindow is how long a route counts as in use after its last request arrived.
 	recentWindow = 5 * time.Second
 	// maxRoutes limits the number of routes whose durations are kept.
@@ -149,7 +149,7 @@
 	}
 	route := &routeStats{mean: initialDuration, samples: 1}
 	if left := r.SoftDeadline.Sub(now); !r.SoftDeadline.IsZero() && left > 0 {
-		route.mean = left / initialTargetShare
+		route.mean = left / initialTargetDivisor
 	}
 	if len(c.routes) >= maxRoutes {
 		clear(c.routes)
