--- a/event/event.go
+++ b/event/event.go
@@ -119,7 +119,7 @@
 	{TicketDamaged, "ticket-damaged", log.ErrorLevel, "An object in the platform can't be read; the configuration in force does not change. Check the object."},
 	{TicketsCompacted, "tickets-compacted", log.InfoLevel, "This instance stored a snapshot of the tickets in the platform and deleted old entries."},
 	{CompactionFailed, "compaction-failed", log.WarnLevel, "A snapshot could not be stored; the next one replaces it. Check the platform if this repeats."},
-	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces."},
+	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces, \"behind_ms\" how long ago another instance first announced a newer one."},
 	{ConfigurationRefused, "configuration-refused", log.ErrorLevel, "A configuration can't be read and is not used; the result code and the error give the reason."},
 	{WatchSilent, "watch-silent", log.WarnLevel, "A read found a configuration that the watch on the store did not report; the watch is restarted."},
 
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -95,6 +95,9 @@
 	// storeRevision is the highest revision that the store returned with a configuration.
 	storeRevision    atomic.Uint64
 	storeUnavailable atomic.Bool
+	// behindSince is when another instance first announced a newer version than the one in force, in nanoseconds of Unix
+	// time; 0 while none is announced.
+	behindSince atomic.Int64
 	// cancelWatch cancels the watch call in flight.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	bounds      func() Bounds
@@ -119,6 +122,9 @@
 // onNewerRevision queues a notice that another instance has a newer configuration; it drops the notice if one is
 // queued already.
 func (c *configurationManager) onNewerRevision(b membership.NewerRevision) {
+	if b.Revision > c.version() {
+		c.behindSince.CompareAndSwap(0, time.Now().UnixNano())
+	}
 	select {
 	case c.newerRevisions <- b:
 	default:
@@ -168,9 +174,14 @@
 		close(c.loaded)
 	}
 	c.members.SetRevision(next.Version)
-	c.event.Log(event.ConfigurationInForce,
+	fields := []event.Field{
 		event.F("version", next.Version), event.F("before", before.Version), event.F("from", source),
-		event.F("routes", len(next.Routes)), event.F("accounts", len(next.Accounts)))
+		event.F("routes", len(next.Routes)), event.F("accounts", len(next.Accounts)),
+	}
+	if since := c.behindSince.Swap(0); since != 0 {
+		fields = append(fields, event.F("behind_ms", time.Since(time.Unix(0, since)).Milliseconds()))
+	}
+	c.event.Log(event.ConfigurationInForce, fields...)
 	return nil
 }
 
