sidecar: Let all instances read the configuration in turns

Callers saw configurations that were not in force in time. Cause: two instances of each failure domain watched and read the store, at random intervals of 2.5 to 7.5 s in a fleet of four. When all of them end at once, for example without power, the others read nothing until they have failed in the membership, 4 to 10 s later; and while the watches hang, the reads came together by chance only.

The time is now divided into turns, ten within the time to put a change in force; rendezvous hashing over the whole fleet gives each turn to one instance, and an instance that suspects it reads in its place. The rate of reads does not depend on the size of the fleet.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -99,6 +99,12 @@
 	return s
 }
 
+// Suspected returns the instances that are suspected to have failed.
+func (m *Members) Suspected() (out map[membership.ID]bool) {
+	m.Owner.Do(func() { out = m.state.Suspected() })
+	return out
+}
+
 // step calls one method of the state in the owner and carries out the actions that it returns.
 func (m *Members) step(f func(now time.Time) []membership.Action) {
 	m.Owner.Do(func() { m.execute(f(time.Now())) })
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -218,6 +218,22 @@
 	return out
 }
 
+// SelectInstance returns the instance of all failure domains that rendezvous hashing ranks first for a purpose, or "" if
+// there is none. Leaving instances and those in skip are not selected.
+func (d *Directory) SelectInstance(purpose string, skip map[ID]bool) ID {
+	var selected ID
+	var highest uint64
+	key := append([]byte(purpose), 0)
+	for id, r := range d.records {
+		rank := xxhash.Sum64(append(key, id...)) | 1
+		if rank < highest || rank == highest && id > selected || r.Leaving || skip[id] {
+			continue
+		}
+		selected, highest = id, rank
+	}
+	return selected
+}
+
 // ShardOwners returns, for each of n shards, the instance that rendezvous hashing ranks first, so that all instances with
 // the same view agree on it. Leaving instances are skipped; an owner is empty if no other instance is known.
 func (d *Directory) ShardOwners(n int) []ID {
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -83,6 +83,15 @@
 	delete(s.suspects, m)
 }
 
+// Suspected returns the members that are suspected now.
+func (s *State) Suspected() map[ID]bool {
+	out := make(map[ID]bool, len(s.suspects))
+	for m := range s.suspects {
+		out[m.id] = true
+	}
+	return out
+}
+
 // isolated reports whether this instance has received no message for so long that the fault may be its own.
 func (s *State) isolated(now time.Time) bool {
 	return now.Sub(s.lastReceived) > s.health.scale(s.config.IsolatedAfter)
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -32,12 +32,6 @@
 	// storeTimeout bounds every other call to the store: many times its usual latency of 4 ms, and well within the time
 	// in which a configuration has to be in force.
 	storeTimeout = 800 * time.Millisecond
-	// pollsPerDeadline is how often one of the watchers reads the store within the time in which a configuration has to
-	// be in force. A watch can stop responding without an error; the rest of the time is for passing the configuration
-	// on to the other instances.
-	pollsPerDeadline = 4
-	// minPollInterval bounds how often one watcher polls.
-	minPollInterval = 250 * time.Millisecond
 	// maxPeersAsked is how many instances are asked in one round while the store is unavailable.
 	maxPeersAsked = 3
 	// initialWait bounds how long an instance that is not a watcher waits for the first configuration from
@@ -395,35 +389,6 @@
 	return true
 }
 
-// pollStore reads the store from time to time while this instance is a watcher, until ctx ends, in case a watch call
-// does not return a change. The interval grows with the number of watchers, so that the store is read as often in a
-// large fleet as in a small one.
-func (c *configurationManager) pollStore(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.awaitWatcherRole(ctx)
-		interval := max(c.bounds().ConfigDeadline/pollsPerDeadline*time.Duration(c.watcherCount()), minPollInterval)
-		wait.Sleep(ctx, interval/2+rand.N(interval))
-		before := c.version()
-		if c.isWatcher() && c.readStore(ctx) && before > 0 && c.version() > before {
-			c.event.Log(event.WatchSilent, event.F("version", c.version()), event.F("before", before))
-			c.restartWatch()
-		}
-	}
-}
-
-// watcherCount returns how many instances of the fleet are watchers.
-func (c *configurationManager) watcherCount() int {
-	domains := make(map[string]int)
-	for _, r := range c.members.Directory().Records() {
-		domains[r.Domain]++
-	}
-	n := 0
-	for _, members := range domains {
-		n += min(members, watchersPerDomain)
-	}
-	return max(n, 1)
-}
-
 // restartWatch cancels the watch call in flight, which missed a change, so that a new one begins.
 func (c *configurationManager) restartWatch() {
 	if cancel := c.cancelWatch.Load(); cancel != nil {
