sidecar: Read the store beside an instance that does not return its configuration

Callers saw configurations that were not in force in time.

The store is now read as well when the other instance has not returned the configuration after 150 ms.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -44,6 +44,9 @@
 	maxBackoff = time.Second
 	// fetchTimeout bounds one call to another instance for its configuration.
 	fetchTimeout = 500 * time.Millisecond
+	// fetchHedgeDelay is how long another instance may take to return a configuration before the store is read as well. A
+	// change passes through a few instances on its way, and each may wait that long within the time to put it in force.
+	fetchHedgeDelay = 150 * time.Millisecond
 )
 
 // methodConfiguration asks another instance for its configuration.
@@ -349,24 +352,37 @@
 	return slices.Contains(c.members.Directory().SelectInstances(c.self.Domain, "watch", watchersPerDomain), c.self.ID)
 }
 
-// followPeers fetches the newer configurations that other instances announce, until ctx ends. If the announcing
-// instance does not respond, it reads the store.
+// followPeers fetches the newer configurations that other instances announce, until ctx ends.
 func (c *configurationManager) followPeers(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case b := <-c.newerRevisions:
-			if c.version() >= b.Revision {
-				continue
-			}
-			if !c.fetchFrom(ctx, b.Address) {
-				c.readStore(ctx)
+			if c.version() < b.Revision {
+				c.fetchAnnounced(ctx, b.Address)
 			}
 		}
 	}
 }
 
+// fetchAnnounced fetches the configuration of another instance, and reads the store if that fails or takes long: a kept
+// connection to the instance can have stopped responding without an error.
+func (c *configurationManager) fetchAnnounced(ctx context.Context, addr netip.AddrPort) {
+	fetched := make(chan bool, 1)
+	go func() { fetched <- c.fetchFrom(ctx, addr) }()
+	hedge := time.NewTimer(fetchHedgeDelay)
+	defer hedge.Stop()
+	select {
+	case ok := <-fetched:
+		if ok {
+			return
+		}
+	case <-hedge.C:
+	}
+	c.readStore(ctx)
+}
+
 // fetchFrom fetches the configuration of another instance and applies it if it is newer; it reports whether that
 // succeeded.
 func (c *configurationManager) fetchFrom(ctx context.Context, addr netip.AddrPort) bool {
