--- a/event/event.go
+++ b/event/event.go
@@ -66,6 +66,7 @@
 	LinkOutOfUse     ID = 5104
 	LinkBackInUse    ID = 5105
 	BackendRests     ID = 5106
+	BackendLimited   ID = 5107
 
 	MemberJoined ID = 6001
 	MemberLeft   ID = 6002
@@ -150,6 +151,7 @@
 	{LinkOutOfUse, "link-out-of-use", log.WarnLevel, "The link from this instance to another one fails; other instances may still reach it. Check the network between the two."},
 	{LinkBackInUse, "link-back-in-use", log.InfoLevel, "A link that was out of use works again."},
 	{BackendRests, "backend-rests", log.InfoLevel, "The backend server is out of use after failed exchanges; the line gives the cooldown."},
+	{BackendLimited, "backend-limited", log.InfoLevel, "The backend server names another limit on its requests, \"limit\" a second from all instances together, or none any more (-1)."},
 
 	{MemberJoined, "member-joined", log.InfoLevel, "Another instance joined."},
 	{MemberLeft, "member-left", log.InfoLevel, "Another instance left after a planned shutdown."},
--- a/exit/dialect.go
+++ b/exit/dialect.go
@@ -23,6 +23,8 @@
 	NotRun bool
 	// Replaced reports whether another backend server has taken over the address. It did not run the request.
 	Replaced bool
+	// Statement is what the backend server says about itself.
+	Statement backend.Statement
 	// CloseDelimited reports whether a response without a length may end with its connection.
 	CloseDelimited bool
 }
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -34,6 +34,9 @@
 	// OnReplaced is called when another backend server has taken over the address of the given one; by default nothing
 	// is called.
 	OnReplaced func(backend string)
+	// OnStatement is called with what a backend server says about itself in a valid response; by default nothing is
+	// called.
+	OnStatement func(backend string, s backend.Statement)
 }
 
 // maxRejectionBytes is how many bytes of a rejection's body are read so that its connection can be reused.
@@ -59,6 +62,9 @@
 	if o.OnReplaced == nil {
 		o.OnReplaced = func(string) {}
 	}
+	if o.OnStatement == nil {
+		o.OnStatement = func(string, backend.Statement) {}
+	}
 	return &Handler{options: o, history: newExchangeHistory()}
 }
 
@@ -216,6 +222,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	observed.Head(time.Now())
 	info := h.options.Dialect.ReadResponse(resp, r, u)
+	if !info.Crossed && !info.Replaced {
+		h.options.OnStatement(u.ID, info.Statement)
+	}
 	if info.NotRun || info.Replaced {
 		outcome = backend.OutcomeShed
 		h.writeRejection(w, r, e, info)
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -94,6 +94,8 @@
 	gate     *admission.Gate
 	upstream *backend.Upstream
 	set      atomic.Pointer[backend.UpstreamSet]
+	// statement is what the backend server last said about itself.
+	statement atomic.Pointer[backend.Statement]
 }
 
 // maxIdleBackendConnections is how many idle connections to the backend server are kept: more than it has slots.
@@ -104,6 +106,7 @@
 ) *localBackend {
 	b := &localBackend{event: e, retryBudget: retryBudget, publishEndpoints: publishEndpoints}
 	b.set.Store(&backend.UpstreamSet{})
+	b.statement.Store(&backend.Statement{})
 	return b
 }
 
@@ -170,6 +173,21 @@
 	}
 }
 
+// handleStatement records what the backend server says about itself.
+func (b *localBackend) handleStatement(id string, s backend.Statement) {
+	if before := b.statement.Swap(&s); before.Limited != s.Limited || before.Limit != s.Limit {
+		b.event.Log(event.BackendLimited, event.F("backend", id), event.F("limit", namedLimit(s)))
+	}
+}
+
+// namedLimit returns the limit that a statement names in requests per second, or -1 for none.
+func namedLimit(s backend.Statement) float64 {
+	if !s.Limited {
+		return -1
+	}
+	return s.Limit
+}
+
 // publish replaces the set that the exit side reads and announces the endpoint to the other instances; the calling
 // function holds the lock.
 func (b *localBackend) publish() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -204,11 +204,12 @@
 		ProbeIdleLinks:      true,
 	})
 	exitSide := exit.New(exit.Options{
-		Backends:   i.localBackend.upstreams,
-		Observer:   i.localBackend,
-		CheckKey:   i.configuration.checkKey,
-		Dialect:    i.options.Dialect,
-		OnReplaced: i.localBackend.addressTaken,
+		Backends:    i.localBackend.upstreams,
+		Observer:    i.localBackend,
+		CheckKey:    i.configuration.checkKey,
+		Dialect:     i.options.Dialect,
+		OnReplaced:  i.localBackend.addressTaken,
+		OnStatement: i.localBackend.handleStatement,
 	})
 	clientServer := entry.NewServer(
 		httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("entry", i.options.ClientMiddleware(entrySide))),
