backend/admission: Keep requests within the limit that a backend server names

Cause: nothing read the limit; the gate beside the backend server admitted by free slots alone.

All requests for a backend server pass the gate of the instance beside it, so the limit is kept there, by a token bucket, and holds for the fleet without coordination. The gate forgets it at a restart; entry sides therefore keep what backend servers said in the responses that passed them, and send it with each request, and the gate goes by it until a response says otherwise. What the limit doesn't allow is refused at once (5016, not run), with a time to retry that is spread over the requests which the limit will allow.

--- a/backend/admission/controller.go
+++ b/backend/admission/controller.go
@@ -54,6 +54,7 @@
 // even without waiting is served after all others, within its deadline.
 type Controller struct {
 	breaker    Breaker
+	limit      ServerLimit
 	budget     RetryBudget
 	retryBound func() RetryBound
 	slots      int
@@ -109,13 +110,16 @@
 func (c *Controller) Cooldown(now time.Time) time.Duration { return c.breaker.Cooldown(now) }
 
 // Arrive adds a request. If granted is true, the request holds a slot; otherwise it waits until Release or SetSlots
-// grants it one, or until Release, SetSlots or Observe refuses it. The error carries BackendEjected, BackendBusy,
-// QueueFull or RetryBudgetSpent; all but the last come with the delay after which to retry.
+// grants it one, or until Release, SetSlots or Observe refuses it. The error carries BackendEjected,
+// BackendLimited, BackendBusy, QueueFull or RetryBudgetSpent; all but the last come with the delay after which to retry.
 func (c *Controller) Arrive(now, deadline time.Time, r backend.SlotRequest) (w *Waiter, granted bool, err error) {
 	if ok, after := c.breaker.Allow(now, r); !ok {
 		return nil, false, result.WithRetryAfter(result.New(result.BackendEjected,
 			"the circuit breaker of the backend server does not admit the request"), after)
 	}
+	if !c.limit.Allows(now) {
+		return nil, false, c.limitError(now)
+	}
 	route := c.route(now, r)
 	w = &Waiter{request: r, deadline: deadline, expectedDuration: route.mean, sequence: c.sequence}
 	if r.NestedCall {
@@ -261,14 +265,24 @@
 	return !w.deadline.IsZero() && end.After(w.deadline)
 }
 
-// takeSlot gives a slot to a request that is sent now. It returns an error if the request is a retry and the retry
-// budget is spent.
+// limitError returns the refusal of a request that the limit of the backend server does not allow now.
+func (c *Controller) limitError(now time.Time) error {
+	return result.WithRetryAfter(result.New(result.BackendLimited,
+		"the backend server has got all requests that its limit allows"), c.limit.RetryAfter(now))
+}
+
+// takeSlot gives a slot to a request that is sent now. It returns an error if the backend server's limit does not allow
+// the request, or if the request is a retry and the retry budget is spent.
 func (c *Controller) takeSlot(now time.Time, w *Waiter) error {
+	if !c.limit.Allows(now) {
+		return c.limitError(now)
+	}
 	if !w.request.Retry {
 		c.budget.RecordFirst(now, c.retryBound())
 	} else if !c.budget.AllowRetry(now, c.retryBound()) {
 		return result.New(result.RetryBudgetSpent, "the retry budget of the backend server is spent")
 	}
+	c.limit.Take(now)
 	c.running[w] = struct{}{}
 	w.startedAt = now
 	w.trial = c.breaker.Begin()
--- a/backend/admission/gate.go
+++ b/backend/admission/gate.go
@@ -42,6 +42,22 @@
 	return g.controller.Load()
 }
 
+// StateLimit takes over the limit that the backend server names in a response, in requests per second; limited is false
+// if it names none.
+func (g *Gate) StateLimit(limit float64, limited bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.limit.State(time.Now(), limit, limited)
+}
+
+// SuggestLimit takes over a limit that another instance saw in an earlier response, unless a response to this instance is
+// known.
+func (g *Gate) SuggestLimit(limit float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.limit.Suggest(time.Now(), limit)
+}
+
 // SetSlots changes the number of slots; requests that hold a slot keep it.
 func (g *Gate) SetSlots(n int) {
 	g.mu.Lock()
--- a/backend/statement.go
+++ b/backend/statement.go
@@ -18,12 +18,9 @@
 	Leaving bool
 }
 
-// String formats the statement for other instances, without its age.
-func (s Statement) String() string { return s.format(0) }
-
-// format formats the statement and its age: the limit, whether the backend server is leaving, and the age in
+// Format formats the statement and its age: the limit, whether the backend server is leaving, and the age in
 // milliseconds, separated by ",". The limit is empty if there is none.
-func (s Statement) format(age time.Duration) string {
+func (s Statement) Format(age time.Duration) string {
 	limit, leaving := "", 0
 	if s.Limited {
 		limit = strconv.FormatFloat(s.Limit, 'g', -1, 64)
--- a/backend/statement_test.go
+++ b/backend/statement_test.go
@@ -11,7 +11,7 @@
 func TestStatementIsParsedAsItWasFormatted(t *testing.T) {
 	is := is.New(t)
 	for _, s := range []Statement{{}, {Limited: true, Limit: 1.25}, {Limited: true}, {Leaving: true}, {Limited: true, Limit: 3, Leaving: true}} {
-		parsed, age, ok := ParseStatement(s.format(1500 * time.Millisecond))
+		parsed, age, ok := ParseStatement(s.Format(1500 * time.Millisecond))
 		is.True(ok)
 		is.Equal(parsed, s)
 		is.Equal(age, 1500*time.Millisecond)
--- a/balancer/cost_selector.go
+++ b/balancer/cost_selector.go
@@ -260,6 +260,8 @@
 		return
 	case result.BackendEjected:
 		e.cooldownUntil, e.needsTrial = now.Add(result.RetryAfterOf(r.Err)), true
+	case result.BackendLimited:
+		e.cooldownUntil = now.Add(result.RetryAfterOf(r.Err))
 	case result.BackendDraining, result.BackendUnknown, result.ShuttingDown:
 		e.cooldownUntil = now.Add(drainCooldown)
 	case result.BackendShed:
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,8 +17,10 @@
 	waits    bool // for a slot at the endpoint
 	took     time.Duration
 	load     string // of the endpoint, as the exit side reported it
-	response *bufferedResponse
-	err      error
+	// statement is what the backend server said about itself, as the exit side reported it, "" if it said nothing.
+	statement string
+	response  *bufferedResponse
+	err       error
 }
 
 // close cancels the attempt; its response can't be read afterwards.
@@ -54,6 +56,7 @@
 func (a *attempt) receive(e *link.Exchange, exchangeID string) (*bufferedResponse, error) {
 	resp := e.Response
 	a.load = resp.Header.Get(link.HeaderLoad)
+	a.statement = resp.Header.Get(link.HeaderStatement)
 	err := checkResponse(resp, exchangeID)
 	if err == nil {
 		e.Accept()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -115,6 +115,7 @@
 func (d *dispatch) handleOutcome(a *attempt) bool {
 	delete(d.running, a)
 	d.state.recordAttempt(a)
+	d.handler.statements.record(a, time.Now())
 	d.handler.options.Selector.Done(a.endpoint, AttemptResult{Took: a.took, Err: a.err, Load: a.load})
 	if a.err == nil {
 		d.policy.observe(a.took)
@@ -212,6 +213,9 @@
 	if !wait {
 		out.Header.Set(link.HeaderNoWait, "1")
 	}
+	if s := h.statements.last(c.Backend, time.Now()); s != "" {
+		out.Header.Set(link.HeaderStatement, s)
+	}
 	if !state.repeatable() && h.options.ProbeIdleLinks {
 		ctx = link.WithPathProbe(ctx)
 	}
@@ -251,6 +255,7 @@
 	for range n {
 		a := <-d.results
 		a.close()
+		d.handler.statements.record(a, time.Now())
 		err := result.New(result.TryGivenUp, "another attempt got its response first")
 		d.handler.options.Selector.Done(a.endpoint, AttemptResult{Took: a.took, Err: err, Load: a.load})
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -84,6 +84,7 @@
 type Handler struct {
 	options       Options
 	retryPolicies retryPolicies
+	statements    statements
 	counters      counters
 }
 
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -37,6 +37,9 @@
 	// OnStatement is called with what a backend server says about itself in a valid response; by default nothing is
 	// called.
 	OnStatement func(backend string, s backend.Statement)
+	// OnSuggestion is called with what an entry side saw last that a backend server said, and how long ago that was; by
+	// default nothing is called.
+	OnSuggestion func(backend string, s backend.Statement, age time.Duration)
 }
 
 // maxRejectionBytes is how many bytes of a rejection's body are read so that its connection can be reused.
@@ -65,6 +68,9 @@
 	if o.OnStatement == nil {
 		o.OnStatement = func(string, backend.Statement) {}
 	}
+	if o.OnSuggestion == nil {
+		o.OnSuggestion = func(string, backend.Statement, time.Duration) {}
+	}
 	return &Handler{options: o, history: newExchangeHistory()}
 }
 
@@ -75,6 +81,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), remainingTime(r))
 	defer cancel()
+	if s, age, ok := backend.ParseStatement(r.Header.Get(link.HeaderStatement)); ok {
+		h.options.OnSuggestion(r.Header.Get(link.HeaderBackend), s, age)
+	}
 	u, err := h.findBackend(r)
 	if err != nil {
 		refuse(w, r, result.WithRun(err, result.NotRun))
@@ -224,6 +233,9 @@
 	info := h.options.Dialect.ReadResponse(resp, r, u)
 	if !info.Crossed && !info.Replaced {
 		h.options.OnStatement(u.ID, info.Statement)
+		if info.Statement != (backend.Statement{}) {
+			w.Header().Set(link.HeaderStatement, info.Statement.Format(0))
+		}
 	}
 	if info.NotRun || info.Replaced {
 		outcome = backend.OutcomeShed
--- a/link/header.go
+++ b/link/header.go
@@ -41,6 +41,10 @@
 	// requests and slots, separated by ",".
 	HeaderLoad = "Amaranth-Load"
 
+	// HeaderStatement is what the backend server says about itself, in the format of backend.Statement: on a response what
+	// it said there, on a request what the entry side saw last in a response.
+	HeaderStatement = "Amaranth-Statement"
+
 	// HeaderOrigin states who made a response on the link: OriginFleet or OriginBackend.
 	HeaderOrigin = "Amaranth-Origin"
 	// HeaderPriority, HeaderRetry, HeaderLastResort and HeaderOriginService are sent from the entry side to the
--- a/result/code.go
+++ b/result/code.go
@@ -89,6 +89,7 @@
 	IdentityDraining   Code = 5013
 	IdentityTaken      Code = 5014
 	BackendShed        Code = 5015
+	BackendLimited     Code = 5016
 
 	LinkUnreachable Code = 6001
 	LinkBroken      Code = 6002
@@ -201,6 +202,7 @@
 	{IdentityDraining, "identity-draining", http.StatusConflict, "A backend server with this identity is draining; register again after it has left or its lease has expired."},
 	{IdentityTaken, "identity-taken", http.StatusConflict, "A backend server with this identity is registered at another address."},
 	{BackendShed, "backend-shed", http.StatusServiceUnavailable, "The backend server rejected the request without running it."},
+	{BackendLimited, "backend-limited", http.StatusServiceUnavailable, "The backend server has got all requests that the limit which it names allows for now."},
 
 	{LinkUnreachable, "link-unreachable", http.StatusBadGateway, "The other instance does not accept connections."},
 	{LinkBroken, "link-broken", http.StatusBadGateway, "The connection to the other instance broke before a response arrived."},
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -115,10 +115,8 @@
 
 // Begin implements backend.Observer.
 func (b *localBackend) Begin(id, route string, now time.Time) backend.Exchange {
-	if u, ok := b.upstreams()[id]; ok {
-		if g, ok := u.Gate.(*admission.Gate); ok {
-			return g.Begin(id, route, now)
-		}
+	if g := b.gateOf(id); g != nil {
+		return g.Begin(id, route, now)
 	}
 	return backend.NoObserver{}.Begin(id, route, now)
 }
@@ -173,13 +171,34 @@
 	}
 }
 
-// handleStatement records what the backend server says about itself.
+// handleStatement takes over what the backend server says about itself.
 func (b *localBackend) handleStatement(id string, s backend.Statement) {
+	if g := b.gateOf(id); g != nil {
+		g.StateLimit(s.Limit, s.Limited)
+	}
 	if before := b.statement.Swap(&s); before.Limited != s.Limited || before.Limit != s.Limit {
 		b.event.Log(event.BackendLimited, event.F("backend", id), event.F("limit", namedLimit(s)))
 	}
 }
 
+// handleSuggestion takes over what another instance saw last that the backend server said, while no response to this
+// instance is known: the process before this one may have seen it, too.
+func (b *localBackend) handleSuggestion(id string, s backend.Statement, _ time.Duration) {
+	if g := b.gateOf(id); g != nil && s.Limited {
+		g.SuggestLimit(s.Limit)
+	}
+}
+
+// gateOf returns the gate of a backend server, or nil if it is not the present one.
+func (b *localBackend) gateOf(id string) *admission.Gate {
+	if u, ok := b.upstreams()[id]; ok {
+		if g, ok := u.Gate.(*admission.Gate); ok {
+			return g
+		}
+	}
+	return nil
+}
+
 // namedLimit returns the limit that a statement names in requests per second, or -1 for none.
 func namedLimit(s backend.Statement) float64 {
 	if !s.Limited {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -204,12 +204,13 @@
 		ProbeIdleLinks:      true,
 	})
 	exitSide := exit.New(exit.Options{
-		Backends:    i.localBackend.upstreams,
-		Observer:    i.localBackend,
-		CheckKey:    i.configuration.checkKey,
-		Dialect:     i.options.Dialect,
-		OnReplaced:  i.localBackend.addressTaken,
-		OnStatement: i.localBackend.handleStatement,
+		Backends:     i.localBackend.upstreams,
+		Observer:     i.localBackend,
+		CheckKey:     i.configuration.checkKey,
+		Dialect:      i.options.Dialect,
+		OnReplaced:   i.localBackend.addressTaken,
+		OnStatement:  i.localBackend.handleStatement,
+		OnSuggestion: i.localBackend.handleSuggestion,
 	})
 	clientServer := entry.NewServer(
 		httpserver.DisableKeepAliveWhile(i.stopping.Load, i.metrics.Instrument("entry", i.options.ClientMiddleware(entrySide))),
