sidecar: Send no requests to a backend server that says it is leaving

A backend server that said in its responses that it leaves got 142 requests in the 3 s after the drain timeout. Cause: only its reports counted, some backend servers never report a drain, and what the instance beside it knew ended with that process.

The instance beside the backend server now takes what it says in a response as it takes a report: it refuses new requests (5006, not run) and announces the drain. After a restart it goes by what entry sides saw, until the first response, unless the backend server has started since. A backend server that starts again under its ID gets a new gate, so that a late response of the process before says nothing about it. TestLeavingServerGetsNoRequestAfterTheDrainTimeout failed before, with and without a restart, and passes now.

--- a/exit/handler.go
+++ b/exit/handler.go
@@ -36,7 +36,7 @@
 	OnReplaced func(backend string)
 	// OnStatement is called with what a backend server says about itself in a valid response; by default nothing is
 	// called.
-	OnStatement func(backend string, s backend.Statement)
+	OnStatement func(u *backend.Upstream, s backend.Statement)
 	// OnSuggestion is called with what an entry side saw last that a backend server said, and how long ago that was; by
 	// default nothing is called.
 	OnSuggestion func(backend string, s backend.Statement, age time.Duration)
@@ -66,7 +66,7 @@
 		o.OnReplaced = func(string) {}
 	}
 	if o.OnStatement == nil {
-		o.OnStatement = func(string, backend.Statement) {}
+		o.OnStatement = func(*backend.Upstream, backend.Statement) {}
 	}
 	if o.OnSuggestion == nil {
 		o.OnSuggestion = func(string, backend.Statement, time.Duration) {}
@@ -232,7 +232,7 @@
 	observed.Head(time.Now())
 	info := h.options.Dialect.ReadResponse(resp, r, u)
 	if !info.Crossed && !info.Replaced {
-		h.options.OnStatement(u.ID, info.Statement)
+		h.options.OnStatement(u, info.Statement)
 		if info.Statement != (backend.Statement{}) {
 			w.Header().Set(link.HeaderStatement, info.Statement.Format(0))
 		}
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -94,8 +94,15 @@
 	gate     *admission.Gate
 	upstream *backend.Upstream
 	set      atomic.Pointer[backend.UpstreamSet]
-	// statement is what the backend server last said about itself.
-	statement atomic.Pointer[backend.Statement]
+	startTime time.Time // of the process that gate and upstream belong to; guarded by mu
+	// statement is what the present process of the backend server last said about itself; nil before its first response.
+	statement atomic.Pointer[gateStatement]
+}
+
+// gateStatement is what the backend server behind a gate says about itself.
+type gateStatement struct {
+	gate backend.Gate
+	backend.Statement
 }
 
 // maxIdleBackendConnections is how many idle connections to the backend server are kept: more than it has slots.
@@ -106,7 +113,6 @@
 ) *localBackend {
 	b := &localBackend{event: e, retryBudget: retryBudget, publishEndpoints: publishEndpoints}
 	b.set.Store(&backend.UpstreamSet{})
-	b.statement.Store(&backend.Statement{})
 	return b
 }
 
@@ -164,28 +170,56 @@
 func (b *localBackend) addressTaken(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.state.ID == id && b.state.Leave(id, time.Time{}) {
-		b.event.Log(event.BackendLeft,
-			event.F("backend", id), event.F("reason", "another backend server is at its address"))
-		b.publish()
-	}
+	b.leave(id, "another backend server is at its address")
 }
 
-// handleStatement takes over what the backend server says about itself.
-func (b *localBackend) handleStatement(id string, s backend.Statement) {
-	if g := b.gateOf(id); g != nil {
-		g.StateLimit(s.Limit, s.Limited)
+// handleStatement takes over what a backend server says about itself.
+func (b *localBackend) handleStatement(u *backend.Upstream, s backend.Statement) {
+	said := gateStatement{gate: u.Gate, Statement: s}
+	before := b.statement.Load()
+	if before != nil && *before == said {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.gate != u.Gate {
+		return // an earlier process of the backend server said it
+	}
+	b.statement.Store(&said)
+	b.gate.StateLimit(s.Limit, s.Limited)
+	if limit := namedLimit(&said); limit != namedLimit(before) {
+		b.event.Log(event.BackendLimited, event.F("backend", u.ID), event.F("limit", limit))
 	}
-	if before := b.statement.Swap(&s); before.Limited != s.Limited || before.Limit != s.Limit {
-		b.event.Log(event.BackendLimited, event.F("backend", id), event.F("limit", namedLimit(s)))
+	if s.Leaving {
+		b.leave(u.ID, "it says so in its responses")
 	}
 }
 
 // handleSuggestion takes over what another instance saw last that the backend server said, while no response to this
-// instance is known: the process before this one may have seen it, too.
-func (b *localBackend) handleSuggestion(id string, s backend.Statement, _ time.Duration) {
-	if g := b.gateOf(id); g != nil && s.Limited {
-		g.SuggestLimit(s.Limit)
+// instance is known: the instance before this one may have seen it, too.
+func (b *localBackend) handleSuggestion(id string, s backend.Statement, age time.Duration) {
+	if b.statement.Load() != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state.ID != id || b.statement.Load() != nil {
+		return
+	}
+	if s.Limited {
+		b.gate.SuggestLimit(s.Limit)
+	}
+	if s.Leaving && b.state.StartTime.Before(time.Now().Add(-age)) {
+		b.leave(id, "it said so in a response that another instance saw")
+	}
+}
+
+// leave records that the backend server is leaving, as something other than its reports shows; the calling function
+// holds the lock.
+func (b *localBackend) leave(id, reason string) {
+	if b.state.Leave(id, time.Time{}) {
+		b.event.Log(event.BackendLeft, event.F("backend", id), event.F("reason", reason))
+		b.publish()
 	}
 }
 
@@ -200,8 +234,8 @@
 }
 
 // namedLimit returns the limit that a statement names in requests per second, or -1 for none.
-func namedLimit(s backend.Statement) float64 {
-	if !s.Limited {
+func namedLimit(s *gateStatement) float64 {
+	if s == nil || !s.Limited {
 		return -1
 	}
 	return s.Limit
@@ -221,7 +255,10 @@
 	a := backend.Announcement{
 		ID: reported.ID, Service: reported.Service, Address: reported.Address, Slots: max(reported.Slots, 1), State: state,
 	}
-	if b.upstream == nil || b.upstream.ID != a.ID || b.upstream.Address != a.Address || b.upstream.Service != a.Service {
+	if b.upstream == nil || b.upstream.ID != a.ID || b.upstream.Address != a.Address || b.upstream.Service != a.Service ||
+		!b.startTime.Equal(reported.StartTime) {
+		b.statement.Store(nil)
+		b.startTime = reported.StartTime
 		b.gate = admission.NewGate(a.Slots, b.retryBudget, b.logCooldown(a.ID))
 		if b.upstream != nil {
 			b.upstream.Transport.CloseIdleConnections()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -37,7 +37,7 @@
 		return c.confirmationAge(time.Now()).Seconds()
 	})
 	gauge("backend_limit_per_second", "Requests a second that the backend server takes from all instances together, -1 without a limit.", func() float64 {
-		return namedLimit(*i.localBackend.statement.Load())
+		return namedLimit(i.localBackend.statement.Load())
 	})
 	gauge("ready", "1 while requests are taken.", func() float64 { return httpserver.BoolToFloat(i.Ready()) })
 	return m
