--- a/balancer/cost_selector.go
+++ b/balancer/cost_selector.go
@@ -56,6 +56,11 @@
 	// maxLinkBackoff.
 	initialLinkBackoff = 300 * time.Millisecond
 	maxLinkBackoff     = 4 * time.Second
+	// maxLimitCooldown bounds the cooldown of an endpoint that is limited by its backend server. The cooldown doubles with
+	// each refusal in a row, so that many instances do not ask in vain for the few requests that the limit allows; a lifted
+	// limit is noticed after maxLimitCooldown at the latest.
+	maxLimitCooldown  = 5 * time.Second
+	maxLimitDoublings = 8
 	// drainCooldown is how long an endpoint is excluded after a refusal as draining or unknown. It bridges the time
 	// until the membership announces the change.
 	drainCooldown = 2 * time.Second
@@ -101,6 +106,15 @@
 	needsTrial    bool // no successful response since its last ejection
 	shedAt        time.Time
 	usedAt        time.Time
+	limitRefusals int // consecutive refusals because of the backend server's limit
+}
+
+// recordLimited starts the cooldown after a refusal because of the backend server's limit, which names the delay after
+// which to retry.
+func (e *endpointState) recordLimited(now time.Time, retryAfter time.Duration) {
+	cooldown := min(retryAfter<<min(e.limitRefusals, maxLimitDoublings), maxLimitCooldown)
+	e.limitRefusals++
+	e.cooldownUntil = now.Add(max(cooldown, retryAfter))
 }
 
 // halfOpen reports whether the endpoint still needs a successful trial and its cooldown is not over for longer than
@@ -254,6 +268,9 @@
 		e.load, e.loadAt = load, now
 	}
 	e.needsTrial = e.needsTrial && r.Err != nil
+	if r.Err == nil {
+		e.limitRefusals = 0
+	}
 	switch result.CodeOf(r.Err) {
 	case result.LinkUnreachable, result.LinkBroken:
 		s.recordUnreachable(now, c.Instance.ID)
@@ -261,7 +278,7 @@
 	case result.BackendEjected:
 		e.cooldownUntil, e.needsTrial = now.Add(result.RetryAfterOf(r.Err)), true
 	case result.BackendLimited:
-		e.cooldownUntil = now.Add(result.RetryAfterOf(r.Err))
+		e.recordLimited(now, result.RetryAfterOf(r.Err))
 	case result.BackendDraining, result.BackendUnknown, result.ShuttingDown:
 		e.cooldownUntil = now.Add(drainCooldown)
 	case result.BackendShed:
