--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -89,11 +89,11 @@
 	retryBudget      func() admission.RetryBound
 	publishEndpoints func([]membership.Endpoint)
 
-	mu       sync.Mutex
-	state    BackendState // guarded by mu
-	gate     *admission.Gate
-	upstream *backend.Upstream
-	set      atomic.Pointer[backend.UpstreamSet]
+	mu        sync.Mutex
+	state     BackendState // guarded by mu
+	gate      *admission.Gate
+	upstream  *backend.Upstream
+	set       atomic.Pointer[backend.UpstreamSet]
 	startTime time.Time // of the process that gate and upstream belong to; guarded by mu
 	// statement is what the present process of the backend server last said about itself; nil before its first response.
 	statement atomic.Pointer[gateStatement]
