store: Notice silent connections within the time to put a change in force

The cause of late configurations, looked for elsewhere: a stand-alone fleet's watch of the platform lasted 20 s and its call time, so that a watch whose connection fell silent missed a change for 22 s, and each further kept connection cost 2 s more; a change has to be in force within 9 s. It shows only when the instance that accepted the change ends before it has told others.

A watch now waits 4 s, and a call without a response closes the idle connections.

--- a/store/http.go
+++ b/store/http.go
@@ -35,7 +35,7 @@
 
 const (
 	defaultCallTimeout = 2 * time.Second
-	defaultWatchWait   = 20 * time.Second
+	defaultWatchWait   = 4 * time.Second
 	maxListBytes       = 16 << 20
 	maxErrorBodyBytes  = 4 << 10
 	maxHeaderBytes     = 64 << 10
@@ -50,7 +50,9 @@
 	Base string
 	// CallTimeout bounds each call except a watch; default 2 s.
 	CallTimeout time.Duration
-	// WatchWait is how long one watch may wait; default 20 s. Longer waits cost fewer calls.
+	// WatchWait is how long one watch may wait; default 4 s. Longer waits cost fewer calls. A connection that stopped
+	// responding without an error is noticed after WatchWait and CallTimeout, which must leave time to put a change in
+	// force within 9 s.
 	WatchWait time.Duration
 	// Transport sends the calls. The default is NewTransport with half the CallTimeout, so that a connection that can't
 	// be opened is distinguished from a call without a response.
@@ -225,11 +227,13 @@
 	// The transport repeats a write only if the connection closed before any byte of the write was sent.
 	resp, err := h.client.Do(req)
 	if err != nil {
+		h.client.CloseIdleConnections() // what made this connection stop responding may have affected them too
 		return response{}, newTransportError(sent.Load(), err, "platform does not respond")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readBody(resp)
 	if err != nil {
+		h.client.CloseIdleConnections()
 		return response{}, newTransportError(true, err, "response of the platform is incomplete")
 	}
 	return response{status: resp.StatusCode, header: resp.Header, body: body}, nil
