--- a/backend/admission/gate.go
+++ b/backend/admission/gate.go
@@ -42,12 +42,12 @@
 	return g.controller.Load()
 }
 
-// StateLimit takes over the limit that the backend server names in a response, in requests per second; limited is false
+// LearnLimit takes over the limit that the backend server names in a response, in requests per second; limited is false
 // if it names none.
-func (g *Gate) StateLimit(limit float64, limited bool) {
+func (g *Gate) LearnLimit(limit float64, limited bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.controller.limit.State(time.Now(), limit, limited)
+	g.controller.limit.Learn(time.Now(), limit, limited)
 }
 
 // SuggestLimit takes over a limit that another instance saw in an earlier response, unless a response to this instance is
--- a/backend/admission/limit.go
+++ b/backend/admission/limit.go
@@ -35,9 +35,9 @@
 	reservedUntil time.Time
 }
 
-// State takes over the limit that the backend server names in a response, in requests per second; limited is false if it
+// Learn takes over the limit that the backend server names in a response, in requests per second; limited is false if it
 // names none.
-func (l *ServerLimit) State(now time.Time, limit float64, limited bool) {
+func (l *ServerLimit) Learn(now time.Time, limit float64, limited bool) {
 	l.stated = true
 	l.set(now, limit, limited)
 }
--- a/backend/admission/limit_test.go
+++ b/backend/admission/limit_test.go
@@ -27,7 +27,7 @@
 		newLimited := func() *Controller { return NewController(100, func() RetryBound { return RetryBound{} }) }
 		c := newLimited()
 		now := time.Unix(1000, 0)
-		c.limit.State(now, limit, true)
+		c.limit.Learn(now, limit, true)
 		var sent []time.Time
 		for range rapid.IntRange(100, 1500).Draw(t, "arrivals") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(50*time.Millisecond)).Draw(t, "gap")))
@@ -65,7 +65,7 @@
 	for _, limit := range []float64{0.5, 1, 4.3, 30} {
 		c := NewController(100, func() RetryBound { return RetryBound{} })
 		start := time.Unix(1000, 0)
-		c.limit.State(start, limit, true)
+		c.limit.Learn(start, limit, true)
 		sent, last := 0, start
 		const duration = 20 * time.Second
 		interval := time.Duration(float64(time.Second) / limit / 3)
@@ -86,9 +86,9 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	var l ServerLimit
-	l.State(now, 1, true)
+	l.Learn(now, 1, true)
 	is.True(!l.Allows(now))
-	l.State(now, 0, false)
+	l.Learn(now, 0, false)
 	l.Suggest(now, 1) // seen by another instance before
 	is.True(l.Allows(now))
 }
@@ -98,7 +98,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	var l ServerLimit
-	l.State(now, 4, true)
+	l.Learn(now, 4, true)
 	for n := 1; n <= 8; n++ {
 		is.Equal(l.RetryAfter(now), time.Duration(n)*250*time.Millisecond)
 	}
@@ -118,7 +118,7 @@
 		is.NoErr(err)
 		is.True(!granted)
 	}
-	c.limit.State(now, 1, true)
+	c.limit.Learn(now, 1, true)
 	grants := c.Release(now, running)
 	is.Equal(len(grants), 3)
 	for _, g := range grants {
--- a/balancer/limited_test.go
+++ b/balancer/limited_test.go
@@ -32,7 +32,7 @@
 	limits := make(map[string]*admission.ServerLimit)
 	for _, c := range d.Endpoints("s")[:limited] {
 		limits[c.Backend] = &admission.ServerLimit{}
-		limits[c.Backend].State(now, limit, true)
+		limits[c.Backend].Learn(now, limit, true)
 	}
 	used := make(map[string][]time.Time)
 	for n := 0; now.Sub(start) < duration; n++ {
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -186,7 +186,7 @@
 		return // an earlier process of the backend server said it
 	}
 	b.statement.Store(&said)
-	b.gate.StateLimit(s.Limit, s.Limited)
+	b.gate.LearnLimit(s.Limit, s.Limited)
 	if limit := namedLimit(&said); limit != namedLimit(before) {
 		b.event.Log(event.BackendLimited, event.F("backend", u.ID), event.F("limit", limit))
 	}
