backend: Fuzz the statements that instances pass on; rank the poller without allocations

SelectInstance allocated once for each instance and turn; it now uses one buffer, as ShardOwners does.

--- a/backend/statement_test.go
+++ b/backend/statement_test.go
@@ -26,3 +26,22 @@
 		is.True(!ok)
 	}
 }
+
+// FuzzParseStatement checks that text which is accepted is formatted as a statement that is parsed as the same.
+func FuzzParseStatement(f *testing.F) {
+	for _, text := range []string{"", "1.5,0,100", ",1,0", "1e300,1,2147483647", "0x1p-2,0,1"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		is := is.New(t)
+		s, age, ok := ParseStatement(text)
+		if !ok {
+			return
+		}
+		is.True(s.Limit >= 0 && age >= 0)
+		again, againAge, ok := ParseStatement(s.Format(age))
+		is.True(ok)
+		is.Equal(again, s)
+		is.Equal(againAge, age)
+	})
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -223,9 +223,11 @@
 func (d *Directory) SelectInstance(purpose string, skip map[ID]bool) ID {
 	var selected ID
 	var highest uint64
+	prefix := len(purpose) + 1
 	key := append([]byte(purpose), 0)
 	for id, r := range d.records {
-		rank := xxhash.Sum64(append(key, id...)) | 1
+		key = append(key[:prefix], id...)
+		rank := xxhash.Sum64(key) | 1
 		if rank < highest || rank == highest && id > selected || r.Leaving || skip[id] {
 			continue
 		}
