balancer: Spread as many requests as every endpoint needs

Cause: fixed shares of the requests were spread, which suit ten requests for each endpoint in 2 s; with three, an endpoint behind the first ones of the common order gets none with probability 0.35. An instance's own share of unserved requests sees too little of a large fleet, and nothing of other failure domains.

The shares now follow from the arrivals at this instance and from the endpoints and instances of its domain, so that each endpoint can expect three requests in 2 s; those that may be repeated go first. The shares before are the least ones.

TestHealthyDomainWithFewRequestsLeavesNoEndpointIdle, where other domains fail requests: 56 of 200 before, 0 now.

--- a/balancer/cost_selector.go
+++ b/balancer/cost_selector.go
@@ -25,15 +25,10 @@
 	// the same endpoints while these have free slots. Each of these endpoints is exercised many times a second, and few
 	// requests are the first to discover a gray failure.
 	rankCost = 0.12
-	// randomCost spreads the choices of instances that have the same view. spreadCost spreads the requests that
-	// exercise endpoints which would otherwise get none.
+	// randomCost spreads the choices of instances that have the same view. spreadCost spreads the requests that may go to
+	// any endpoint of the domain, whatever its rank, and exercise endpoints which would otherwise get none.
 	randomCost = 0.05
 	spreadCost = 0.5
-	// spreadShareRepeatable is the share of repeatable requests that may go to any endpoint of the domain, whatever its
-	// rank, and spreadShareOther is the share of all other requests. With these shares, nearly every endpoint gets a
-	// request within two seconds, so its health is known when it is needed.
-	spreadShareRepeatable = 0.5
-	spreadShareOther      = 0.3
 	// unservedWeight is the weight of one request in the moving average of a service's share of unserved requests.
 	// Above spreadUnservedShare, this instance spreads all requests of the service: while some of the endpoints fail
 	// requests, the others must not stay idle.
@@ -84,12 +79,20 @@
 type CostSelector struct {
 	options CostSelectorOptions
 
-	mu             sync.Mutex // guards the fields below
-	endpoints      map[endpointKey]*endpointState
-	links          map[membership.ID]*linkState
-	unservedShares map[string]float64 // moving average, by service
-	rankings       map[string]ranking // by service
-	lastSweep      time.Time
+	createdAt time.Time
+
+	mu        sync.Mutex // guards the fields below
+	endpoints map[endpointKey]*endpointState
+	links     map[membership.ID]*linkState
+	services  map[string]*serviceView
+	lastSweep time.Time
+}
+
+// serviceView is what this instance knows about a service.
+type serviceView struct {
+	ranking       ranking
+	arrivals      arrivals
+	unservedShare float64 // moving average
 }
 
 type endpointKey struct {
@@ -132,8 +135,9 @@
 // NewCostSelector returns a CostSelector without any observations.
 func NewCostSelector(o CostSelectorOptions) *CostSelector {
 	return &CostSelector{
-		options: o, endpoints: make(map[endpointKey]*endpointState), links: make(map[membership.ID]*linkState),
-		unservedShares: make(map[string]float64), rankings: make(map[string]ranking),
+		options: o, createdAt: o.Now(),
+		endpoints: make(map[endpointKey]*endpointState), links: make(map[membership.ID]*linkState),
+		services: make(map[string]*serviceView),
 	}
 }
 
@@ -146,13 +150,15 @@
 	var best membership.Candidate
 	var bestCost float64
 	found := false
-	share := spreadShareOther
-	if q.Repeatable {
-		share = spreadShareRepeatable
-	}
-	spread := s.unservedShares[q.Service] > spreadUnservedShare || s.options.Rand() < share
 	list := q.Directory.Endpoints(q.Service)
-	ranks := s.ranksFor(q.Service, list)
+	service := s.viewOf(q.Service)
+	if !service.ranking.isFor(list) {
+		service.ranking = newRanking(list)
+	}
+	if len(q.Tried) == 0 {
+		service.arrivals.record(now, q.Repeatable)
+	}
+	spread := s.shouldSpread(service, q)
 	for i, c := range list {
 		if !s.eligible(now, q, c) {
 			continue
@@ -161,7 +167,7 @@
 		if spread {
 			cost += spreadCost * s.options.Rand()
 		} else {
-			cost += rankCost * ranks[i]
+			cost += rankCost * service.ranking.ranks[i]
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = c, cost, true
@@ -246,15 +252,25 @@
 	return e
 }
 
+// viewOf returns what is known of a service and creates it if necessary.
+func (s *CostSelector) viewOf(name string) *serviceView {
+	v := s.services[name]
+	if v == nil {
+		v = &serviceView{arrivals: arrivals{since: s.createdAt, at: s.createdAt}}
+		s.services[name] = v
+	}
+	return v
+}
+
 // RequestDone records whether a request of a service was served in the end, after all its attempts.
 func (s *CostSelector) RequestDone(service string, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share := s.unservedShares[service] * (1 - unservedWeight)
+	v := s.viewOf(service)
+	v.unservedShare *= 1 - unservedWeight
 	if !served {
-		share += unservedWeight
+		v.unservedShare += unservedWeight
 	}
-	s.unservedShares[service] = share
 }
 
 // Done implements entry.Selector.
@@ -307,12 +323,12 @@
 }
 
 const (
-	// sweepInterval and forgetAfter bound the memory for endpoints and links that are gone.
+	// sweepInterval and forgetAfter bound the memory for endpoints, links and services that are gone.
 	sweepInterval = 30 * time.Second
 	forgetAfter   = time.Minute
 )
 
-// sweep removes the state of endpoints and links that have not been used for forgetAfter.
+// sweep removes the state of endpoints, links and services that have not been used for forgetAfter.
 func (s *CostSelector) sweep(now time.Time) {
 	if now.Sub(s.lastSweep) < sweepInterval {
 		return
@@ -328,4 +344,9 @@
 			delete(s.links, id)
 		}
 	}
+	for name, v := range s.services {
+		if now.Sub(v.arrivals.at) > forgetAfter {
+			delete(s.services, name)
+		}
+	}
 }
--- a/balancer/ranking.go
+++ b/balancer/ranking.go
@@ -15,6 +15,8 @@
 type ranking struct {
 	list  []membership.Candidate
 	ranks []float64 // rank of each endpoint from 0, in the order of list
+	// endpoints is the number of endpoints in each failure domain.
+	endpoints map[string]int
 }
 
 // isFor reports whether the ranking was computed from this same slice.
@@ -29,22 +31,11 @@
 		hashes[i], order[i] = xxhash.Sum64String(c.Backend), i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[a], hashes[b]) })
-	r := ranking{list: list, ranks: make([]float64, len(list))}
-	next := make(map[string]float64) // next rank, by failure domain
+	r := ranking{list: list, ranks: make([]float64, len(list)), endpoints: make(map[string]int)}
 	for _, i := range order {
 		domain := list[i].Instance.Domain
-		r.ranks[i] = next[domain]
-		next[domain]++
+		r.ranks[i] = float64(r.endpoints[domain])
+		r.endpoints[domain]++
 	}
 	return r
 }
-
-// ranksFor returns the ranks of the endpoints of a service. s.mu must be held.
-func (s *CostSelector) ranksFor(service string, list []membership.Candidate) []float64 {
-	r, ok := s.rankings[service]
-	if !ok || !r.isFor(list) {
-		r = newRanking(list)
-		s.rankings[service] = r
-	}
-	return r.ranks
-}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -80,13 +80,14 @@
 // Directory is an immutable view of the instances and endpoints. An update copies only the affected services and
 // shares the rest with the previous view.
 type Directory struct {
-	records  map[ID]*Record
-	services [directoryShards]map[string][]Candidate
+	records   map[ID]*Record
+	instances map[string]int // number of records, by failure domain
+	services  [directoryShards]map[string][]Candidate
 }
 
 // NewDirectory builds a view. The records must not be modified afterwards.
 func NewDirectory(records map[ID]*Record) *Directory {
-	d := &Directory{records: maps.Clone(records)}
+	d := &Directory{records: maps.Clone(records), instances: make(map[string]int)}
 	if d.records == nil {
 		d.records = make(map[ID]*Record)
 	}
@@ -94,6 +95,7 @@
 		d.services[shard] = make(map[string][]Candidate)
 	}
 	for _, r := range d.records {
+		d.instances[r.Domain]++
 		for _, e := range r.Endpoints {
 			services := d.services[shardOf(e.Service)]
 			services[e.Service] = append(services[e.Service], Candidate{Endpoint: e, Instance: r})
@@ -116,11 +118,12 @@
 
 // Update returns a view in which the given records are replaced or, where the value is nil, removed.
 func (d *Directory) Update(changes map[ID]*Record) *Directory {
-	next := &Directory{records: maps.Clone(d.records), services: d.services}
+	next := &Directory{records: maps.Clone(d.records), instances: maps.Clone(d.instances), services: d.services}
 	affected := make(map[string]struct{})
 	for id, r := range changes {
 		if old, ok := d.records[id]; ok {
 			collectServices(affected, old)
+			next.removeInstance(old.Domain)
 		}
 		if r == nil {
 			delete(next.records, id)
@@ -128,6 +131,7 @@
 		}
 		collectServices(affected, r)
 		next.records[id] = r
+		next.instances[r.Domain]++
 	}
 	copied := [directoryShards]bool{}
 	lists := next.rebuildLists(d, changes, affected)
@@ -146,6 +150,13 @@
 	return next
 }
 
+// removeInstance counts one instance of a failure domain less.
+func (d *Directory) removeInstance(domain string) {
+	if d.instances[domain]--; d.instances[domain] == 0 {
+		delete(d.instances, domain)
+	}
+}
+
 // collectServices adds the services of a record's endpoints to a set.
 func collectServices(services map[string]struct{}, r *Record) {
 	for _, e := range r.Endpoints {
@@ -187,6 +198,9 @@
 	return d.services[shardOf(service)][service]
 }
 
+// CountInstances returns the number of instances in a failure domain.
+func (d *Directory) CountInstances(domain string) int { return d.instances[domain] }
+
 // Records returns the records of all instances by ID. The caller must not modify the map.
 func (d *Directory) Records() map[ID]*Record { return d.records }
 
