sidecar: Keep the age of the configuration right when the clock is stepped

The cause of late configurations, looked for elsewhere: an instance that fails closed measured the time since the store's last confirmation by the time of day. After a step back by some seconds it took revoked keys for as much longer than the revocation deadline, and told others a negative age, which they took for a confirmation to come; after a step ahead it refused all keys.

The age now comes from the monotonic clock, and a stated age is 0 at least.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
@@ -66,6 +67,11 @@
 	AgeMillis int64 `json:"age"`
 }
 
+// age returns how long ago the store confirmed the configuration, 0 if the other instance states a negative age.
+func (r configurationResponse) age() time.Duration {
+	return time.Duration(min(max(r.AgeMillis, 0), math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
+
 // activeConfiguration is a configuration in force, with the view that the request path reads.
 type activeConfiguration struct {
 	*Configuration
@@ -87,14 +93,15 @@
 	current        atomic.Pointer[activeConfiguration]
 	loaded         chan struct{} // closed once the first configuration is in force
 	newerRevisions chan membership.NewerRevision
-	// confirmedAt is when the store last confirmed the configuration, in nanoseconds of Unix time.
-	confirmedAt atomic.Int64
+	// confirmedAt is when the store last confirmed the configuration, nil before the first time. Its monotonic reading
+	// keeps the age right when the time of day is stepped.
+	confirmedAt atomic.Pointer[time.Time]
 	// storeRevision is the highest revision that the store returned with a configuration.
 	storeRevision    atomic.Uint64
 	storeUnavailable atomic.Bool
-	// behindSince is when another instance first announced a newer version than the one in force, in nanoseconds of Unix
-	// time; 0 while none is announced.
-	behindSince atomic.Int64
+	// behindSince is when another instance first announced a newer version than the one in force; nil while none is
+	// announced.
+	behindSince atomic.Pointer[time.Time]
 	// cancelWatch cancels the watch call in flight.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	bounds      func() Bounds
@@ -120,7 +127,8 @@
 // queued already.
 func (c *configurationManager) onNewerRevision(b membership.NewerRevision) {
 	if b.Revision > c.version() {
-		c.behindSince.CompareAndSwap(0, time.Now().UnixNano())
+		now := time.Now()
+		c.behindSince.CompareAndSwap(nil, &now)
 	}
 	select {
 	case c.newerRevisions <- b:
@@ -175,8 +183,8 @@
 		event.F("version", next.Version), event.F("before", before.Version), event.F("from", source),
 		event.F("routes", len(next.Routes)), event.F("accounts", len(next.Accounts)),
 	}
-	if since := c.behindSince.Swap(0); since != 0 {
-		fields = append(fields, event.F("behind_ms", time.Since(time.Unix(0, since)).Milliseconds()))
+	if since := c.behindSince.Swap(nil); since != nil {
+		fields = append(fields, event.F("behind_ms", time.Since(*since).Milliseconds()))
 	}
 	c.event.Log(event.ConfigurationInForce, fields...)
 	return nil
@@ -284,16 +292,20 @@
 func (c *configurationManager) confirm(at time.Time) {
 	for {
 		old := c.confirmedAt.Load()
-		if at.UnixNano() <= old || c.confirmedAt.CompareAndSwap(old, at.UnixNano()) {
+		if old != nil && !at.After(*old) || c.confirmedAt.CompareAndSwap(old, &at) {
 			return
 		}
 	}
 }
 
 // confirmationAge returns how long ago the store confirmed the configuration, to this instance or to the one that
-// passed the confirmation on.
+// passed the confirmation on; it is the longest duration before the first confirmation.
 func (c *configurationManager) confirmationAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.confirmedAt.Load()))
+	at := c.confirmedAt.Load()
+	if at == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(*at)
 }
 
 // confirmationsPerRevocation is how often, within the revocation deadline, an instance that fails closed has its
@@ -400,7 +412,7 @@
 		return false
 	}
 	if c.version() <= response.Version {
-		c.confirm(requestedAt.Add(-time.Duration(response.AgeMillis) * time.Millisecond))
+		c.confirm(requestedAt.Add(-response.age()))
 	}
 	return true
 }
