backend/admission: Let retries expire when the clock is stepped or the window changes

After a step back, and after a change of the window to a longer one, the number of the present part fell, so that nothing expired until the old number was reached: retries stayed refused for the step, or for good. After a step ahead, or a change to a shorter window, retries sent just now were forgotten, and the bound could be exceeded.

Parts are now numbered by the monotonic clock from the first use, and a changed window begins anew with the retries so far. TestSpentRetryBudgetIgnoresStepsOfTheClock and TestSpentRetryBudgetExpiresAfterTheWindowHasChanged failed before and pass now.

--- a/backend/admission/budget.go
+++ b/backend/admission/budget.go
@@ -25,16 +25,32 @@
 	Slack float64
 }
 
-// RetryBudget limits the retries at one backend server by the number of first attempts that arrive there.
+// RetryBudget limits the retries at one backend server by the number of first attempts that arrive there. The zero value
+// is empty.
 type RetryBudget struct {
 	firstAttempts [windowParts]float64 // by part of the window
 	retries       [retryParts]float64  // by part of the window and the one before it
-	currentPart   int64                // number of the latest part since the Unix epoch
+	currentPart   int64                // number of the latest part, from 0 at begin
+	begin         time.Time
+	window        time.Duration // of the bound that the parts belong to
+}
+
+// restart begins anew with another window. It keeps the retries, which may have been sent just now.
+func (b *RetryBudget) restart(now time.Time, window time.Duration) {
+	retries := 0.0
+	for _, n := range b.retries {
+		retries += n
+	}
+	*b = RetryBudget{begin: now, window: window}
+	b.retries[0] = retries
 }
 
 // advance clears the parts that have left the window and returns the number of the current part.
 func (b *RetryBudget) advance(now time.Time, bound RetryBound) int64 {
-	part := now.UnixNano() / int64(bound.Window/windowParts)
+	if b.window != bound.Window {
+		b.restart(now, bound.Window)
+	}
+	part := int64(now.Sub(b.begin) / (bound.Window / windowParts))
 	for n := max(b.currentPart+1, part-retryParts+1); n <= part; n++ {
 		b.firstAttempts[n%windowParts], b.retries[n%retryParts] = 0, 0
 	}
