Answer the requests that a planned stop can't finish

Cause: the deadline of a request does not change when the instance that took it is about to end, and the remaining connections were closed.

During a planned stop the end of the process is now the deadline of each request, so that exit sides refuse what can't be served until then, and what still runs then gets a response that says so. The stand-alone fleet does the same.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -65,6 +65,9 @@
 	// ClientService returns the name of the service that the instance runs beside and that its clients belong to, for
 	// backend servers that need it; default none.
 	ClientService func() string
+	// ShutdownDeadline returns the time by which each request must have its response because a planned shutdown ends it
+	// then, or the zero time if there is none, which is the default.
+	ShutdownDeadline func() time.Time
 	// OnDecision is called for each request when its response begins; by default nothing is called.
 	OnDecision func(Decision)
 	// OnPanic is called when an attempt of a request panicked; by default nothing is called.
@@ -96,6 +99,9 @@
 	if o.ClientService == nil {
 		o.ClientService = func() string { return "" }
 	}
+	if o.ShutdownDeadline == nil {
+		o.ShutdownDeadline = func() time.Time { return time.Time{} }
+	}
 	if o.OnDecision == nil {
 		o.OnDecision = func(Decision) {}
 	}
@@ -141,7 +147,7 @@
 		h.refuse(w, state, result.WithRun(err, result.NotRun))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(timeLimit(r, state.route)))
+	ctx, cancel := context.WithDeadline(r.Context(), h.deadline(state, arrived))
 	defer cancel()
 	if state.account != nil {
 		if err := h.options.Admitter.Admit(ctx, state.account); err != nil {
@@ -239,6 +245,15 @@
 	return n
 }
 
+// deadline returns the time by which a request must have its response.
+func (h *Handler) deadline(state *requestState, arrived time.Time) time.Time {
+	deadline := arrived.Add(timeLimit(state.request, state.route))
+	if by := h.options.ShutdownDeadline(); !by.IsZero() && by.Before(deadline) {
+		return by
+	}
+	return deadline
+}
+
 // timeLimit returns the route's time limit or the one that the client asked for, whichever is shorter.
 func timeLimit(r *http.Request, matched *route.Route) time.Duration {
 	limit := matched.TimeLimit
--- a/entry/write.go
+++ b/entry/write.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -54,6 +55,9 @@
 
 // refuse reports the decision and responds with an error that the fleet itself detected.
 func (h *Handler) refuse(w http.ResponseWriter, state *requestState, err error) {
+	if cause := context.Cause(state.request.Context()); result.Is(cause, result.ShuttingDown) {
+		err = result.WithRun(result.Wrap(result.ShuttingDown, err, "the request could not be finished before the shutdown"), result.RunOf(err))
+	}
 	h.options.OnDecision(state.decision(nil, err))
 	h.writeError(w, state.request, err)
 }
--- a/exit/write.go
+++ b/exit/write.go
@@ -32,6 +32,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		code = result.CallerGone
 	}
+	if result.Is(context.Cause(ctx), result.ShuttingDown) {
+		code = result.ShuttingDown
+	}
 	return result.WithRun(result.Wrap(code, err, "backend server"), run)
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -68,6 +68,7 @@
 	traffic   link.Traffic
 	listeners listeners
 	servers   []*http.Server
+	requests  *httpserver.Requests
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 	ready     chan struct{}
@@ -86,7 +87,7 @@
 	if o.Network == nil {
 		o.Network = link.SystemNetwork{}
 	}
-	i := &Instance{options: o, id: membership.ID(randomID()), ready: make(chan struct{})}
+	i := &Instance{options: o, id: membership.ID(randomID()), ready: make(chan struct{}), requests: httpserver.NewRequests()}
 	if err := i.readKeys(); err != nil {
 		return nil, err
 	}
@@ -219,6 +220,8 @@
 		NewExchangeID:  i.newExchangeID,
 		CheckAuthority: i.authority.Check,
 		Idempotency:    i.idempotency,
+
+		ShutdownDeadline: i.requests.Deadline,
 		OnPanic: func(_ *http.Request, reason any, stack []byte) {
 			i.options.Events.Log(event.PanicContained, event.PanicFields(reason, stack)...)
 		},
--- a/instance/sockets.go
+++ b/instance/sockets.go
@@ -49,6 +49,7 @@
 }
 
 func (i *Instance) serveOn(s *http.Server, l net.Listener) {
+	i.requests.Attach(s)
 	i.servers = append(i.servers, s)
 	httpserver.Serve(&i.running, s, l, i.options.Events)
 }
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -17,17 +17,19 @@
 )
 
 // Stop shuts down gracefully. It announces that the instance is leaving, waits until other instances send it no new
-// requests, finishes the requests in flight and closes. Requests still in flight when ctx ends are aborted.
+// requests, finishes the requests in flight and closes. Requests still in flight when ctx ends get an error response.
 func (i *Instance) Stop(ctx context.Context) error {
 	if i.stopping.Swap(true) {
 		return nil
 	}
+	closing, cancel := i.requests.EndWith(ctx)
+	defer cancel()
 	i.options.Events.Log(event.InstanceDraining)
 	i.members.Drain()
 	wait.Sleep(ctx, drainNotice)
 	var err error
 	for _, s := range i.servers {
-		if e := s.Shutdown(ctx); e != nil {
+		if e := s.Shutdown(closing); e != nil {
 			err = e
 			_ = s.Close()
 		}
--- a/instance/stop_test.go
+++ b/instance/stop_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -10,6 +11,8 @@
 
 	backendstandin "amaranthstile/backend/standin"
 	"amaranthstile/fleet"
+	"amaranthstile/link"
+	"amaranthstile/result"
 	"amaranthstile/ticket"
 )
 
@@ -65,3 +68,22 @@
 	is.NoErr(<-running)
 	is.NoErr(<-stopped)
 }
+
+// TestPlannedStopAnswersRequestsThatItCannotFinish ends the time of a planned stop while a backend server still runs a request.
+func TestPlannedStopAnswersRequestsThatItCannotFinish(t *testing.T) {
+	is := is.New(t)
+	f := serveRoster(t, 2, time.Minute)
+	url := "http://" + f.Instances[0].Addresses().Clients.String() + "/roster/turn"
+	stop, cancel := context.WithCancel(t.Context())
+	go func() {
+		for f.Backends[0].Server.Counts().Requests == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.AfterFunc(100*time.Millisecond, cancel)
+		_ = f.Instances[0].Stop(stop)
+	}()
+	resp, err := http.Post(url, "text/plain", nil)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.Header.Get(link.HeaderRun), string(result.MayHaveRun))
+}
--- /dev/null
+++ b/internal/httpserver/requests.go
@@ -0,0 +1,60 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"amaranthstile/result"
+)
+
+// ResponseTime is how long the responses to requests that a planned shutdown has ended have to reach the clients.
+const ResponseTime = 150 * time.Millisecond
+
+// Requests ends the requests that a planned shutdown can't finish, so that they get a response instead of a closed
+// connection. The context of each request of an attached server is then cancelled, with a cause that carries ShuttingDown.
+type Requests struct {
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	deadline atomic.Pointer[time.Time]
+}
+
+// NewRequests returns a Requests without servers.
+func NewRequests() *Requests {
+	r := &Requests{}
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	return r
+}
+
+// Attach makes r the owner of a server's requests. It must be called before the server serves.
+func (r *Requests) Attach(s *http.Server) {
+	s.BaseContext = func(net.Listener) context.Context { return r.ctx }
+}
+
+// Deadline returns the time by which each request must have its response, or the zero time before a planned shutdown
+// and if that has no deadline.
+func (r *Requests) Deadline() time.Time {
+	if deadline := r.deadline.Load(); deadline != nil {
+		return *deadline
+	}
+	return time.Time{}
+}
+
+// EndWith ends all requests as soon as ctx ends. The context that it returns is for the servers' Shutdown and ends
+// ResponseTime later. The returned function releases it.
+func (r *Requests) EndWith(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		r.deadline.Store(&deadline)
+	}
+	closing, cancel := context.WithCancel(context.Background())
+	stop := context.AfterFunc(ctx, func() {
+		r.cancel(result.New(result.ShuttingDown, "the process is about to end"))
+		time.AfterFunc(ResponseTime, cancel)
+	})
+	return closing, func() {
+		stop()
+		cancel()
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -80,6 +80,7 @@
 	traffic       link.Traffic
 
 	servers  []*http.Server
+	requests *httpserver.Requests
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	stopping atomic.Bool
@@ -90,7 +91,7 @@
 	if o.Network == nil {
 		o.Network = link.SystemNetwork{}
 	}
-	i := &Instance{options: o, id: membership.ID(randomID())}
+	i := &Instance{options: o, id: membership.ID(randomID()), requests: httpserver.NewRequests()}
 	i.service.Store(&o.Settings.Service)
 	i.currentBounds.Store(&o.Settings.Bounds)
 	if err := i.listen(); err != nil {
@@ -198,6 +199,7 @@
 		CheckAuthority:      i.checkFreshness,
 		WriteError:          i.options.WriteError,
 		ClientService:       func() string { return *i.service.Load() },
+		ShutdownDeadline:    i.requests.Deadline,
 		OnDecision:          i.onDecision,
 		OnPanic:             i.onPanic,
 		PassIdempotencyKeys: true,
@@ -266,6 +268,7 @@
 
 // serveWith serves a listener with a server, which Stop and Kill end.
 func (i *Instance) serveWith(s *http.Server, l net.Listener) {
+	i.requests.Attach(s)
 	i.servers = append(i.servers, s)
 	httpserver.Serve(&i.running, s, l, i.options.Events)
 }
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthstile/event"
+	"amaranthstile/internal/httpserver"
 	"amaranthstile/internal/wait"
 )
 
@@ -13,8 +14,8 @@
 	// readinessNotice is how long after the signal clients may still connect: the platform checks the readiness each
 	// second and acts on the second failed check in a row.
 	readinessNotice = 2500 * time.Millisecond
-	// stopMargin is how long before the forced kill the remaining requests are cut off and the process exits.
-	stopMargin = 400 * time.Millisecond
+	// exitTime is how long the process has to end after the last response and before the forced kill.
+	exitTime = 300 * time.Millisecond
 )
 
 // readyHandler responds to the platform's readiness checks.
@@ -35,20 +36,22 @@
 }
 
 // Stop shuts down gracefully. It reports itself as not ready to the platform and as draining to the other instances,
-// serves requests until readinessNotice has passed, finishes the requests in flight and closes. Requests that are still
-// in flight stopMargin before the forced kill are cut off.
+// serves requests until readinessNotice has passed, finishes the requests in flight and closes. Requests that can't be
+// finished before the forced kill get an error response.
 func (i *Instance) Stop() {
 	if i.stopping.Swap(true) {
 		return
 	}
 	started := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(i.bounds().GracePeriod-exitTime-httpserver.ResponseTime))
+	defer cancel()
+	closing, cancelClosing := i.requests.EndWith(ctx)
+	defer cancelClosing()
 	i.options.Events.Log(event.InstanceDraining)
 	i.members.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(i.bounds().GracePeriod-stopMargin))
-	defer cancel()
 	wait.Sleep(ctx, readinessNotice)
 	for _, s := range i.servers {
-		if s.Shutdown(ctx) != nil {
+		if s.Shutdown(closing) != nil {
 			_ = s.Close()
 		}
 	}
