--- a/event/event.go
+++ b/event/event.go
@@ -107,7 +107,7 @@
 	{InstanceStarted, "instance-started", log.InfoLevel, "The process listens on all its addresses."},
 	{InstanceReady, "instance-ready", log.InfoLevel, "The configuration is loaded; requests are accepted."},
 	{InstanceDraining, "instance-draining", log.InfoLevel, "A planned shutdown has begun; no new requests are accepted."},
-	{InstanceStopped, "instance-stopped", log.InfoLevel, "The planned shutdown is complete."},
+	{InstanceStopped, "instance-stopped", log.InfoLevel, "The planned shutdown is complete; \"interrupted\" requests could not be finished and got an error response."},
 	{ServerFailed, "server-failed", log.ErrorLevel, "A listener failed; restart the instance and check its addresses."},
 	{PanicContained, "panic-contained", log.ErrorLevel, "A panic ended one request or call; the process goes on. Report the stack trace as a defect."},
 	{SettingsReloaded, "settings-reloaded", log.InfoLevel, "Changed settings are in use."},
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -6,6 +6,7 @@
 
 	"amaranthstile/event"
 	"amaranthstile/internal/wait"
+	"amaranthstile/result"
 )
 
 const (
@@ -17,7 +18,8 @@
 )
 
 // Stop shuts down gracefully. It announces that the instance is leaving, waits until other instances send it no new
-// requests, finishes the requests in flight and closes. Requests still in flight when ctx ends get an error response.
+// requests, finishes the requests in flight and closes. Requests still in flight when ctx ends get an error response, and
+// Stop returns an error.
 func (i *Instance) Stop(ctx context.Context) error {
 	if i.stopping.Swap(true) {
 		return nil
@@ -34,12 +36,16 @@
 			_ = s.Close()
 		}
 	}
+	interrupted := i.requests.Interrupted()
+	if err == nil && interrupted > 0 {
+		err = result.New(result.ShuttingDown, "%d requests could not be finished", interrupted)
+	}
 	i.idempotency.HandOver(ctx)
 	i.discovery.removeSelf(ctx)
 	i.members.Leave()
 	wait.Sleep(ctx, leaveNotice)
 	i.close()
-	i.options.Events.Log(event.InstanceStopped)
+	i.options.Events.Log(event.InstanceStopped, event.F("interrupted", interrupted))
 	return err
 }
 
--- a/internal/httpserver/requests.go
+++ b/internal/httpserver/requests.go
@@ -19,6 +19,8 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	deadline atomic.Pointer[time.Time]
+	// running is the number of requests without a whole response, and interrupted how many of them were ended.
+	running, interrupted atomic.Int64
 }
 
 // NewRequests returns a Requests without servers.
@@ -28,11 +30,20 @@
 	return r
 }
 
-// Attach makes r the owner of a server's requests. It must be called before the server serves.
+// Attach makes r the owner of a server's requests. It must be called once, before the server serves.
 func (r *Requests) Attach(s *http.Server) {
 	s.BaseContext = func(net.Listener) context.Context { return r.ctx }
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.running.Add(1)
+		defer r.running.Add(-1)
+		next.ServeHTTP(w, req)
+	})
 }
 
+// Interrupted returns how many requests a planned shutdown has ended.
+func (r *Requests) Interrupted() int { return int(r.interrupted.Load()) }
+
 // Deadline returns the time by which each request must have its response, or the zero time before a planned shutdown
 // and if that has no deadline.
 func (r *Requests) Deadline() time.Time {
@@ -50,6 +61,7 @@
 	}
 	closing, cancel := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
+		r.interrupted.Store(r.running.Load())
 		r.cancel(result.New(result.ShuttingDown, "the process is about to end"))
 		time.AfterFunc(ResponseTime, cancel)
 	})
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -57,7 +57,8 @@
 	}
 	i.members.Leave()
 	i.close()
-	i.options.Events.Log(event.InstanceStopped, event.F("took_ms", time.Since(started).Milliseconds()))
+	i.options.Events.Log(event.InstanceStopped,
+		event.F("took_ms", time.Since(started).Milliseconds()), event.F("interrupted", i.requests.Interrupted()))
 }
 
 // Kill stops immediately, as a crash would.
