--- a/balancer/cost_selector_test.go
+++ b/balancer/cost_selector_test.go
@@ -216,34 +216,3 @@
 		s.Done(c, entry.AttemptResult{})
 	}
 }
-
-// TestSparseServiceExercisesEveryEndpoint is TestCostSelectorExercisesEveryEndpoint for a service with few requests for each
-// endpoint, whose failures each instance sees seldom.
-func TestSparseServiceExercisesEveryEndpoint(t *testing.T) {
-	is := is.New(t)
-	const endpoints, instances, requests, windows = 10, 20, 30, 200 // a window has 1.5 requests for each instance and 3 for each endpoint
-	d := directoryOf(1, endpoints)
-	now := time.Unix(1000, 0)
-	random := rand.New(rand.NewPCG(1, 2))
-	var all []*CostSelector
-	for n := range instances {
-		all = append(all, newTestCostSelector(uint64(n), &now))
-	}
-	tooFew := 0
-	for range windows {
-		used := make(map[string]bool)
-		for n := range requests {
-			now = now.Add(2 * time.Second / requests)
-			s := all[random.IntN(len(all))]
-			s.RequestDone("s", random.IntN(9) != 0) // one of nine is not served
-			x, ok := s.Select(entry.Query{Directory: d, Service: "s", Repeatable: n%4 == 0})
-			is.True(ok)
-			s.Done(x, entry.AttemptResult{})
-			used[x.Backend] = true
-		}
-		if float64(len(used)) < 0.7*endpoints {
-			tooFew++
-		}
-	}
-	is.Equal(tooFew, 0)
-}
--- a/balancer/spread_test.go
+++ b/balancer/spread_test.go
@@ -24,35 +24,52 @@
 	return d.Update(changes)
 }
 
-// TestHealthyDomainWithFewRequestsLeavesNoEndpointIdle plays windows of two seconds in a failure domain with three requests
-// for each endpoint, all of which are served, while other domains fail requests: the instances here don't see that.
-func TestHealthyDomainWithFewRequestsLeavesNoEndpointIdle(t *testing.T) {
-	is := is.New(t)
-	const endpoints, instances, requests, windows = 10, 20, 30, 200
-	d := withInstances(directoryOf(1, endpoints), instances-endpoints)
+// idleWindows plays windows of two seconds in which a failure domain of 20 instances gets three requests for each of ten
+// endpoints, and returns in how many of them less than the floor's share of the endpoints got a request. One in
+// repeatableEach requests is repeatable, and served draws whether the instance sees a request served.
+func idleWindows(t *testing.T, d *membership.Directory, repeatableEach int, served func(*rand.Rand) bool) (idle int) {
+	t.Helper()
+	const endpoints, instances, requests, windows, floor = 10, 20, 30, 200, 0.7
 	now := time.Unix(1000, 0)
 	random := rand.New(rand.NewPCG(1, 2))
 	var all []*CostSelector
 	for n := range instances {
 		all = append(all, newTestCostSelector(uint64(n), &now))
 	}
-	tooFew := 0
 	for range windows {
 		used := make(map[string]bool)
 		for n := range requests {
 			now = now.Add(2 * time.Second / requests)
 			s := all[random.IntN(len(all))]
-			s.RequestDone("s", true)
-			x, ok := s.Select(entry.Query{Directory: d, Service: "s", Repeatable: n%2 == 0})
-			is.True(ok)
+			s.RequestDone("s", served(random))
+			x, ok := s.Select(entry.Query{Directory: d, Service: "s", Repeatable: n%repeatableEach == 0})
+			if !ok {
+				t.Fatal("no endpoint was selected")
+			}
 			s.Done(x, entry.AttemptResult{})
 			used[x.Backend] = true
 		}
-		if float64(len(used)) < 0.7*endpoints {
-			tooFew++
+		if float64(len(used)) < floor*endpoints {
+			idle++
 		}
 	}
-	is.Equal(tooFew, 0)
+	return idle
+}
+
+// TestSparseServiceExercisesEveryEndpoint is TestCostSelectorExercisesEveryEndpoint for a service with few requests for each
+// endpoint, whose failures each instance sees seldom.
+func TestSparseServiceExercisesEveryEndpoint(t *testing.T) {
+	is := is.New(t)
+	oneInNineUnserved := func(r *rand.Rand) bool { return r.IntN(9) != 0 }
+	is.Equal(idleWindows(t, directoryOf(1, 10), 4, oneInNineUnserved), 0)
+}
+
+// TestHealthyDomainWithFewRequestsLeavesNoEndpointIdle plays a domain whose requests are all served while other domains fail
+// some: the instances here don't see that.
+func TestHealthyDomainWithFewRequestsLeavesNoEndpointIdle(t *testing.T) {
+	is := is.New(t)
+	allServed := func(*rand.Rand) bool { return true }
+	is.Equal(idleWindows(t, withInstances(directoryOf(1, 10), 10), 2, allServed), 0)
 }
 
 func TestSpreadShares(t *testing.T) {
