backend/standin: Guard the announcer's lease

An older fault of the stand-in, which shows only if a renewal is answered just then; no product code. The lease is now guarded. TestAnnouncerIsSafeForConcurrentUse fails before, under the race detector, and passes now.

--- a/backend/standin/announce.go
+++ b/backend/standin/announce.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"amaranthstile/backend"
@@ -13,12 +14,15 @@
 	"amaranthstile/result"
 )
 
-// Announcer is the client with which a stand-in registers at an instance and renews its lease.
+// Announcer is the client with which a stand-in registers at an instance and renews its lease. It is safe for concurrent
+// use.
 type Announcer struct {
 	slot         string // base URL of the instance's slot address
 	announcement backend.Announcement
 	client       *http.Client
-	lease        backend.Lease
+
+	mu    sync.Mutex
+	lease backend.Lease // guarded by mu
 }
 
 // NewAnnouncer returns an announcer for the slot address of an instance. It makes no call.
@@ -33,7 +37,7 @@
 // Run announces the stand-in and renews its lease until ctx ends. It announces again after a failed renewal.
 func (a *Announcer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if a.lease.ID == "" || a.renew(ctx) != nil {
+		if a.leaseRequest().Lease == "" || a.renew(ctx) != nil {
 			_ = a.Announce(ctx)
 		}
 		select {
@@ -45,22 +49,41 @@
 
 // Announce announces the stand-in once and stores the lease.
 func (a *Announcer) Announce(ctx context.Context) error {
-	return a.post(ctx, backend.PathAnnounce, a.announcement, &a.lease)
+	return a.obtainLease(ctx, backend.PathAnnounce, a.announcement)
 }
 
 // renew renews the lease.
 func (a *Announcer) renew(ctx context.Context) error {
-	return a.post(ctx, backend.PathRenew, backend.LeaseRequest{Lease: a.lease.ID}, &a.lease)
+	return a.obtainLease(ctx, backend.PathRenew, a.leaseRequest())
+}
+
+// obtainLease makes a call whose response is a lease, and stores that.
+func (a *Announcer) obtainLease(ctx context.Context, path string, in any) error {
+	var lease backend.Lease
+	if err := a.post(ctx, path, in, &lease); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lease = lease
+	return nil
+}
+
+// leaseRequest returns a request with the lease that was obtained last.
+func (a *Announcer) leaseRequest() backend.LeaseRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return backend.LeaseRequest{Lease: a.lease.ID}
 }
 
 // Drain stops new requests from being sent to the stand-in.
 func (a *Announcer) Drain(ctx context.Context) error {
-	return a.post(ctx, backend.PathDrain, backend.LeaseRequest{Lease: a.lease.ID}, nil)
+	return a.post(ctx, backend.PathDrain, a.leaseRequest(), nil)
 }
 
 // Leave deregisters the stand-in.
 func (a *Announcer) Leave(ctx context.Context) error {
-	return a.post(ctx, backend.PathLeave, backend.LeaseRequest{Lease: a.lease.ID}, nil)
+	return a.post(ctx, backend.PathLeave, a.leaseRequest(), nil)
 }
 
 // post makes a call with a JSON body and decodes the response into out unless that is nil.
