Log the version of the configuration that a request was decided by

Change: entry.Config has a revision, a Decision the one that it was made by; a refusal after a wait for a slot names the version in force at the exit side.

--- a/entry/decision.go
+++ b/entry/decision.go
@@ -10,6 +10,8 @@
 	Request *http.Request
 	// Route, Service and Account are the names of what the request is for, "" if not known.
 	Route, Service, Account string
+	// Revision is that of the configuration by which the request was accepted or refused, 0 if there was none.
+	Revision uint64
 	// Took is the time from the arrival of the request to the decision.
 	Took time.Duration
 	// Sends is how often the request was sent over a link.
@@ -44,6 +46,9 @@
 // decision returns the Decision on the request: the response of winner was passed on, or the client got err.
 func (s *requestState) decision(winner *attempt, err error) Decision {
 	d := Decision{Request: s.request, Service: s.service, Took: time.Since(s.arrived), Sends: s.sends, Attempts: s.attempts, Err: err}
+	if s.authorizedBy != nil {
+		d.Revision = s.authorizedBy.Revision
+	}
 	if s.route != nil {
 		d.Route = s.route.Name
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -26,6 +26,8 @@
 
 // Config is the part of the configuration that requests depend on. It is immutable.
 type Config struct {
+	// Revision orders configurations: a later one has a higher revision.
+	Revision uint64
 	Routes   *route.Table
 	Accounts *quota.Index
 	Limits   Limits
@@ -172,7 +174,9 @@
 // prepare checks the request and finds its route and client account. The state is never nil, also with an error.
 func (h *Handler) prepare(r *http.Request) (*requestState, error) {
 	config := h.options.Config()
-	state := &requestState{request: r, config: config, arrived: time.Now(), clientService: h.options.ClientService()}
+	state := &requestState{
+		request: r, config: config, authorizedBy: config, arrived: time.Now(), clientService: h.options.ClientService(),
+	}
 	if config == nil {
 		return state, result.New(result.NotReady, "the configuration is not loaded yet")
 	}
@@ -227,6 +231,7 @@
 	if config == state.config {
 		return nil
 	}
+	state.authorizedBy = config
 	account, err := authenticate(state.request, config.Accounts)
 	if err == nil && account.Name != state.account.Name {
 		return result.New(result.KeyRejected, "the API key now belongs to another client account")
--- a/entry/state.go
+++ b/entry/state.go
@@ -36,7 +36,9 @@
 	route   *route.Route
 	service string  // the route's service, or the one that was drawn from its traffic split
 	config  *Config // the configuration that the route and the account come from
-	arrived time.Time
+	// authorizedBy is the configuration in which the API key was looked up last.
+	authorizedBy *Config
+	arrived      time.Time
 	// clientService is the result of Options.ClientService, "" if backend servers don't need it.
 	clientService string
 	account       *quota.Account // nil on an open route
--- a/instance/configuration.go
+++ b/instance/configuration.go
@@ -126,6 +126,7 @@
 	}
 	c.inForce.Routes = c.inForce.Routes.With(t.Routes)
 	c.inForce.Accounts = c.inForce.Accounts.With(t.Accounts)
+	c.inForce.Revision = uint64(c.state.Revision())
 	c.roster.Store(c.state.Roster())
 	c.publishFloors()
 	c.publishView(t)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -234,9 +234,10 @@
 	if err := i.authority.Check(); err != nil {
 		return result.Wrap(result.BackendBusy, err, "the key can't be checked")
 	}
-	a, ok := i.configuration.view.Load().Accounts.FindHash(key)
+	view := i.configuration.view.Load()
+	a, ok := view.Accounts.FindHash(key)
 	if !ok || a.Name != account {
-		return result.New(result.KeyRejected, "the key was revoked while the request waited")
+		return result.New(result.KeyRejected, "the key was revoked while the request waited; revision %d is in force", view.Revision)
 	}
 	return nil
 }
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -174,6 +174,7 @@
 	active.view.Routes = before.view.Routes.With(diff(before.Routes, next.Routes))
 	active.view.Accounts = before.view.Accounts.With(diff(before.Accounts, next.Accounts))
 	active.view.Limits = next.Limits
+	active.view.Revision = next.Version
 	c.current.Store(active)
 	if before.Version == 0 {
 		close(c.loaded)
@@ -464,7 +465,7 @@
 	}
 	a, ok := view.Accounts.FindHash(key)
 	if !ok || a.Name != account {
-		return result.New(result.KeyRejected, "the key was revoked while the request waited")
+		return result.New(result.KeyRejected, "the key was revoked while the request waited; version %d is in force", view.Revision)
 	}
 	return nil
 }
--- a/sidecar/logging.go
+++ b/sidecar/logging.go
@@ -11,14 +11,14 @@
 
 // logDecision writes one log line for a request that the entry side has decided: the request, the version of the
 // configuration that applied, the outcome, and what led to it.
-func logDecision(e *event.Logger, id string, version uint64, d entry.Decision) {
+func logDecision(e *event.Logger, id string, d entry.Decision) {
 	fields := make([]event.Field, 0, 13)
 	fields = append(fields,
 		event.F("request", id),
 		event.F("route", d.Route),
 		event.F("service", d.Service),
 		event.F("account", d.Account),
-		event.F("version", version),
+		event.F("version", d.Revision),
 		event.F("took_ms", d.Took.Milliseconds()),
 		event.F("sends", d.Sends),
 	)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -253,7 +253,7 @@
 	if d.Service != "" {
 		i.selector.RequestDone(d.Service, d.Err == nil && d.Status < http.StatusInternalServerError)
 	}
-	logDecision(i.options.Events, i.options.RequestID(d.Request), i.configuration.version(), d)
+	logDecision(i.options.Events, i.options.RequestID(d.Request), d)
 }
 
 // onPanic logs that an attempt of a request panicked.
