exit: Accept a key that the entry side knows by a later configuration

Callers saw 401 from an instance that knew their key, seconds after the operator had added it. Cause: the exit side checks the key of a request again after a wait for a slot, by its own configuration. One that is behind (frozen, cut off from all but some instances) took a key that it did not know yet for a revoked one, and the entry side passed its refusal on. Change: the entry side states the revision by which it accepted the key (Amaranth-Revision). An exit side of the users' platform that is behind it accepts the key; one of a stand-alone fleet, which may hold pending tickets, answers that it can't check the key, and the request goes to another endpoint. Without the header, from an earlier version, the check is as before.

--- a/entry/state.go
+++ b/entry/state.go
@@ -133,6 +133,7 @@
 	if s.account != nil {
 		h.Set(link.HeaderAccount, s.account.Name)
 		h.Set(link.HeaderKeyHash, s.keyHash())
+		h.Set(link.HeaderRevision, strconv.FormatUint(s.authorizedBy.Revision, 10))
 		h.Set(link.HeaderWeight, strconv.Itoa(s.account.Weight))
 	}
 	if s.repeatable() {
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -26,9 +26,9 @@
 	Backends func() backend.UpstreamSet
 	// Observer observes the exchanges with backend servers; default none.
 	Observer backend.Observer
-	// CheckKey returns nil if the API key with this hash belongs to the account. It is called for requests that waited
-	// for a slot, since their key may have been revoked meanwhile. Default: keys are not checked.
-	CheckKey func(account string, key ticket.Hash) error
+	// CheckKey returns nil if a request with this API key may run. It is called for requests that waited for a slot, since
+	// their key may have been revoked meanwhile. Default: keys are not checked.
+	CheckKey func(KeyUse) error
 	// Dialect defines the headers of requests to backend servers and interprets the responses; default NativeDialect.
 	Dialect Dialect
 	// OnReplaced is called when another backend server has taken over the address of the given one; by default nothing
@@ -42,6 +42,15 @@
 	OnSuggestion func(backend string, s backend.Statement, age time.Duration)
 }
 
+// KeyUse is the use of an API key by a request.
+type KeyUse struct {
+	Account string
+	Hash    ticket.Hash // of the key
+	// AcceptedBy is the revision of the configuration by which the entry side accepted the key; 0 if it did not say. If it
+	// is later than the one in force at the exit side, a key that is unknown there may have been added in between.
+	AcceptedBy uint64
+}
+
 // maxRejectionBytes is how many bytes of a rejection's body are read so that its connection can be reused.
 const maxRejectionBytes = 4 << 10
 
@@ -153,11 +162,13 @@
 	if account == "" || waited < recheckAfter || h.options.CheckKey == nil {
 		return nil
 	}
-	var key ticket.Hash
-	if err := key.UnmarshalText([]byte(r.Header.Get(link.HeaderKeyHash))); err != nil {
+	use := KeyUse{Account: account}
+	if err := use.Hash.UnmarshalText([]byte(r.Header.Get(link.HeaderKeyHash))); err != nil {
 		return result.Wrap(result.KeyRejected, err, "the hash of the API key is malformed")
 	}
-	return h.options.CheckKey(account, key)
+	// instances of earlier versions don't send the revision
+	use.AcceptedBy, _ = strconv.ParseUint(r.Header.Get(link.HeaderRevision), 10, 64)
+	return h.options.CheckKey(use)
 }
 
 // refuse writes an error response. A body that the entry side has not been asked for stays unsent, so that the entry
--- a/exit/wait_test.go
+++ b/exit/wait_test.go
@@ -60,9 +60,8 @@
 			defer upstream.Transport.CloseIdleConnections()
 			h := exit.New(exit.Options{
 				Backends: func() backend.UpstreamSet { return backend.UpstreamSet{"b": upstream} },
-				CheckKey: func(account string, key ticket.Hash) error {
-					is.Equal(account, c.account)
-					is.Equal(key, ticket.HashKey("k"))
+				CheckKey: func(use exit.KeyUse) error {
+					is.Equal(use, exit.KeyUse{Account: c.account, Hash: ticket.HashKey("k"), AcceptedBy: 7})
 					if c.revoked {
 						return result.New(result.KeyRejected, "revoked")
 					}
@@ -74,6 +73,7 @@
 			r.Header.Set(link.HeaderExchange, "x")
 			r.Header.Set(link.HeaderAccount, c.account)
 			r.Header.Set(link.HeaderKeyHash, c.hash)
+			r.Header.Set(link.HeaderRevision, "7")
 			w := httptest.NewRecorder()
 			h.ServeHTTP(w, r)
 			is.Equal(runs.Load(), c.runs)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,7 +25,6 @@
 	"amaranthstile/result"
 	"amaranthstile/settings"
 	"amaranthstile/store"
-	"amaranthstile/ticket"
 )
 
 const idBytes = 8
@@ -229,17 +228,21 @@
 }
 
 // checkKeyInForce checks, for the exit side, that a key still belongs to the account. An instance without an authority
-// lease can't be sure of that, so it refuses with BackendBusy and the entry side retries at another endpoint.
-func (i *Instance) checkKeyInForce(account string, key ticket.Hash) error {
+// lease, or one that is behind the entry side, can't be sure of that, so it refuses with BackendBusy and the entry side
+// retries at another endpoint.
+func (i *Instance) checkKeyInForce(use exit.KeyUse) error {
 	if err := i.authority.Check(); err != nil {
 		return result.Wrap(result.BackendBusy, err, "the key can't be checked")
 	}
 	view := i.configuration.view.Load()
-	a, ok := view.Accounts.FindHash(key)
-	if !ok || a.Name != account {
-		return result.New(result.KeyRejected, "the key was revoked while the request waited; revision %d is in force", view.Revision)
+	a, ok := view.Accounts.FindHash(use.Hash)
+	switch {
+	case ok && a.Name == use.Account:
+		return nil
+	case use.AcceptedBy > view.Revision:
+		return result.New(result.BackendBusy, "the key can't be checked: revision %d is in force", view.Revision)
 	}
-	return nil
+	return result.New(result.KeyRejected, "the key was revoked while the request waited; revision %d is in force", view.Revision)
 }
 
 // newExchangeID returns an exchange ID that is unique among all instances and all their restarts.
--- a/link/header.go
+++ b/link/header.go
@@ -37,6 +37,9 @@
 	HeaderNoWait         = "Amaranth-No-Wait"
 	HeaderIdempotencyKey = "Amaranth-Idempotency-Key"
 
+	// HeaderRevision is the revision of the configuration by which the entry side accepted the request's API key.
+	HeaderRevision = "Amaranth-Revision"
+
 	// HeaderLoad is the load of the endpoint, set on every response of the exit side: running requests, waiting
 	// requests and slots, separated by ",".
 	HeaderLoad = "Amaranth-Load"
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -13,12 +13,12 @@
 
 	"amaranthstile/entry"
 	"amaranthstile/event"
+	"amaranthstile/exit"
 	"amaranthstile/gossip"
 	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
-	"amaranthstile/ticket"
 )
 
 const (
@@ -458,13 +458,16 @@
 }
 
 // checkKey returns nil while a key belongs to an account, for the exit side.
-func (c *configurationManager) checkKey(account string, key ticket.Hash) error {
+func (c *configurationManager) checkKey(use exit.KeyUse) error {
 	view := c.view()
 	if view == nil {
 		return result.New(result.NotReady, "the configuration is not loaded yet")
 	}
-	a, ok := view.Accounts.FindHash(key)
-	if !ok || a.Name != account {
+	if use.AcceptedBy > view.Revision {
+		return nil // this instance is behind the entry side
+	}
+	a, ok := view.Accounts.FindHash(use.Hash)
+	if !ok || a.Name != use.Account {
 		return result.New(result.KeyRejected, "the key was revoked while the request waited; version %d is in force", view.Revision)
 	}
 	return nil
