sidecar: Decide by the own share when a coordinator does not know an account

Callers of an account that had just been added got 429 for each request, as long as the account's coordinator was behind or, after a restart, had no configuration yet. A coordinator leaves out accounts that it does not know, and the missing state read as no grant and an empty bucket. Change: an account that the response leaves out is undecided; the instance admits by its own share of the rate, as while a coordinator is silent, so that the sum keeps the rate.

--- a/sidecar/key_check_test.go
+++ b/sidecar/key_check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,24 +13,37 @@
 	"amaranthstile/ticket"
 )
 
-// lateStore is the store as an instance sees it that learns of no further configuration.
+// lateStore is the store as one instance sees it, which learns of no further configuration once it is late.
 type lateStore struct {
 	*memoryStore
-	seen sidecar.StoredConfiguration
+	seen atomic.Pointer[sidecar.StoredConfiguration] // nil until it is late
 }
 
 // Configuration implements sidecar.Store.
-func (s lateStore) Configuration(context.Context) (sidecar.StoredConfiguration, error) {
-	return s.seen, nil
+func (s *lateStore) Configuration(ctx context.Context) (sidecar.StoredConfiguration, error) {
+	if seen := s.seen.Load(); seen != nil {
+		return *seen, nil
+	}
+	return s.memoryStore.Configuration(ctx)
 }
 
 // AwaitConfiguration implements sidecar.Store.
-func (s lateStore) AwaitConfiguration(ctx context.Context, _ uint64, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
+func (s *lateStore) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
+	out, ok, err := s.memoryStore.AwaitConfiguration(ctx, after, wait)
+	if seen := s.seen.Load(); seen != nil {
+		<-ctx.Done()
+		return *seen, false, ctx.Err()
 	}
-	return s.seen, false, nil
+	return out, ok, err
+}
+
+// fallBehind keeps an instance from learning of further configurations, from the store or from another instance.
+func (s *lateStore) fallBehind(n, other *node) {
+	s.mu.Lock()
+	seen := s.stored
+	s.mu.Unlock()
+	s.seen.Store(&seen)
+	n.network.partitioned.Store(other.settings.Control.String(), true)
 }
 
 // withoutLimit is the rate of an account whose requests are not counted.
@@ -52,13 +66,13 @@
 	is := is.New(t)
 	store := newMemoryStore()
 	store.put(t, configurationWithKeys(1, withoutLimit, "old"))
-	entry := start(t, store, 1, "x")
-	behind := start(t, lateStore{memoryStore: store, seen: store.stored}, 2, "x")
+	late := &lateStore{memoryStore: store}
+	entry, behind := start(t, store, 1, "x"), start(t, late, 2, "x")
 	entry.report(2, true) // all requests go to the other instance
 	eventually(t, 10*time.Second, "requests reach the other instance", func() bool {
 		return entry.do(t, http.MethodPost, "/keyed/x", "old") == http.StatusOK && behind.backend.runs.Load() > 0
 	})
-	behind.network.partitioned.Store(entry.settings.Control.String(), true)
+	late.fallBehind(behind, entry)
 	store.put(t, configurationWithKeys(2, withoutLimit, "old", "new"))
 	eventually(t, 5*time.Second, "the new key is in force", func() bool {
 		return entry.do(t, http.MethodPost, "/keyed/x", "new") == http.StatusOK
@@ -78,3 +92,35 @@
 		is.Equal(<-statuses, http.StatusOK)
 	}
 }
+
+// TestAddedAccountIsNotRefusedByACoordinatorThatIsBehind sends requests of a new account to an instance that knows it;
+// the coordinator of the account does not know it yet.
+func TestAddedAccountIsNotRefusedByACoordinatorThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	const rate = 1000
+	store := newMemoryStore()
+	store.put(t, configurationWithKeys(1, rate, "old"))
+	var nodes []*node
+	lateStores := make(map[string]*lateStore)
+	for n := range 2 {
+		late := &lateStore{memoryStore: store}
+		nodes = append(nodes, start(t, late, n, "x"))
+		lateStores[nodes[n].settings.Name] = late
+	}
+	eventually(t, 10*time.Second, "the instances know each other", func() bool {
+		return nodes[0].EndpointCount(serviceName) == 2 && nodes[1].EndpointCount(serviceName) == 2
+	})
+	entry, coordinator := nodes[0], nodes[1]
+	if entry.CoordinatorOf("account-new") == entry.settings.Name {
+		entry, coordinator = coordinator, entry
+	}
+	lateStores[coordinator.settings.Name].fallBehind(coordinator, entry)
+	store.put(t, configurationWithKeys(2, rate, "old", "new"))
+	eventually(t, 5*time.Second, "the new key is in force", func() bool {
+		return entry.do(t, http.MethodPost, "/keyed/x", "new") != http.StatusUnauthorized
+	})
+	is.Equal(coordinator.do(t, http.MethodPost, "/keyed/x", "new"), http.StatusUnauthorized) // it is behind
+	for range 20 {
+		is.Equal(entry.do(t, http.MethodPost, "/keyed/x", "new"), http.StatusOK)
+	}
+}
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -360,28 +360,36 @@
 		uq.unreachableUntil = now.Add(coordinatorCooldown)
 	}
 	for name, u := range request.Accounts {
-		if err != nil {
+		state, known := response.Accounts[name]
+		if err != nil || !known {
 			q.localQuota(name).HandleFailure(u.Spent)
 			continue
 		}
-		q.localQuota(name).HandleReply(now, string(uq.id), u.Spent, response.Accounts[name])
+		q.localQuota(name).HandleReply(now, string(uq.id), u.Spent, state)
 	}
 	for _, p := range batch {
-		if p.decision == nil {
-			continue
-		}
-		state := response.Accounts[p.account]
-		d := usageDecision{
-			err: err, granted: state.Granted > 0, retryAfter: time.Duration(state.NextMillis) * time.Millisecond,
-		}
-		state.Granted--
-		if err == nil {
-			response.Accounts[p.account] = state
+		if p.decision != nil {
+			p.decision <- decisionOf(p.account, response, err)
 		}
-		p.decision <- d
 	}
 }
 
+// decisionOf returns the decision on one request of an account, and takes the grant that it uses from the response. A
+// coordinator that does not know the account has not decided: its configuration may be older.
+func decisionOf(account string, response usageResponse, err error) usageDecision {
+	if err != nil {
+		return usageDecision{err: err}
+	}
+	state, known := response.Accounts[account]
+	if !known {
+		return usageDecision{err: result.New(result.NotReady, "the coordinator does not know the account %s", account)}
+	}
+	d := usageDecision{granted: state.Granted > 0, retryAfter: time.Duration(state.NextMillis) * time.Millisecond}
+	state.Granted--
+	response.Accounts[account] = state
+	return d
+}
+
 // handleUsage handles the call of another instance. It counts the usage here if this instance is the coordinator, and
 // otherwise relays the call unless it was relayed already.
 func (q *quotas) handleUsage(_ context.Context, request usageRequest) (any, error) {
