sidecar: Pace the requests of a test within the account's rate

Cause: TestAddedAccountIsNotRefusedByACoordinatorThatIsBehind failed once in a run of the package: it sent requests as fast as they were answered, beyond the 500 a second that are the instance's share of the account's rate, and the share starts empty. Change: the test waits for the first response and then sends a hundred requests a second, of which all have to be served.

--- a/sidecar/key_check_test.go
+++ b/sidecar/key_check_test.go
@@ -116,11 +116,12 @@
 	}
 	lateStores[coordinator.settings.Name].fallBehind(coordinator, entry)
 	store.put(t, configurationWithKeys(2, rate, "old", "new"))
-	eventually(t, 5*time.Second, "the new key is in force", func() bool {
-		return entry.do(t, http.MethodPost, "/keyed/x", "new") != http.StatusUnauthorized
+	eventually(t, 5*time.Second, "the new account is served", func() bool {
+		return entry.do(t, http.MethodPost, "/keyed/x", "new") == http.StatusOK
 	})
 	is.Equal(coordinator.do(t, http.MethodPost, "/keyed/x", "new"), http.StatusUnauthorized) // it is behind
 	for range 20 {
+		time.Sleep(10 * time.Millisecond) // a fifth of this instance's share of the rate
 		is.Equal(entry.do(t, http.MethodPost, "/keyed/x", "new"), http.StatusOK)
 	}
 }
