Log and count what a restored store lost

Change: the adapter decodes Store-Era once, as the generation of the store; events 3003 (platform-restored) and 2204 (store-behind), the metric amaranthstile_store_older_total.

--- a/event/event.go
+++ b/event/event.go
@@ -38,9 +38,11 @@
 	ConfigurationInForce ID = 2201
 	ConfigurationRefused ID = 2202
 	WatchSilent          ID = 2203
+	StoreBehind          ID = 2204
 
-	PlatformAway ID = 3001
-	PlatformBack ID = 3002
+	PlatformAway     ID = 3001
+	PlatformBack     ID = 3002
+	PlatformRestored ID = 3003
 
 	RequestRefused  ID = 4001
 	RequestRetried  ID = 4002
@@ -123,9 +125,11 @@
 	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces, \"behind_ms\" how long ago another instance first announced a newer one."},
 	{ConfigurationRefused, "configuration-refused", log.ErrorLevel, "A configuration can't be read and is not used; the result code and the error give the reason."},
 	{WatchSilent, "watch-silent", log.WarnLevel, "A read found a configuration that the watch on the store did not report; the watch is restarted."},
+	{StoreBehind, "store-behind", log.WarnLevel, "The store holds an older configuration, \"stored\" (0: none), than the one in force here, which stays in force. The operator has to write the newest one again."},
 
 	{PlatformAway, "platform-away", log.WarnLevel, "The platform does not respond; tickets are rejected until it does."},
 	{PlatformBack, "platform-back", log.InfoLevel, "The platform responds again."},
+	{PlatformRestored, "platform-restored", log.WarnLevel, "The platform's store came back from an older copy; what it had confirmed in its last seconds is gone until it is written again."},
 
 	{RequestRefused, "request-refused", log.InfoLevel, "A request was rejected; the result code gives the reason."},
 	{RequestRetried, "request-retried", log.InfoLevel, "A request was sent to another endpoint."},
--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -51,7 +51,7 @@
 	self := membership.Record{ID: "self", Domain: "x"}
 	members := gossip.New(owner.New(owner.NewSystem()), self, conn, calls, event.Discard())
 	c := newConfigurationManager(Options{
-		Store:  fixedStore{stored: StoredConfiguration{Specification: specification, Revision: 1}},
+		Store:  fixedStore{stored: StoredConfiguration{Specification: specification, Position: Position{Revision: 1}}},
 		Decode: func(data []byte) (out *Configuration, err error) { return out, json.Unmarshal(data, &out) },
 		Events: event.Discard(),
 	}, DefaultBounds, members, calls, self)
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -99,6 +99,7 @@
 	// storeRevision is the highest revision that the store returned with a configuration.
 	storeRevision    atomic.Uint64
 	storeUnavailable atomic.Bool
+	generations      *generations
 	// behindSince is when another instance first announced a newer version than the one in force; nil while none is
 	// announced.
 	behindSince atomic.Pointer[time.Time]
@@ -108,15 +109,15 @@
 	storeCounters
 }
 
-// storeCounters counts the calls to the store.
-type storeCounters struct{ reads, watches, failures atomic.Uint64 }
+// storeCounters counts the calls to the store, and the responses that held an older configuration than the one in force.
+type storeCounters struct{ reads, watches, failures, olderReads atomic.Uint64 }
 
 func newConfigurationManager(
 	o Options, bounds func() Bounds, m *gossip.Members, calls *link.ControlClient, self membership.Record,
 ) *configurationManager {
 	c := &configurationManager{
 		store: o.Store, decode: o.Decode, members: m, calls: calls, event: o.Events, self: self,
-		bounds: bounds,
+		bounds: bounds, generations: &generations{event: o.Events},
 		loaded: make(chan struct{}), newerRevisions: make(chan membership.NewerRevision, 1),
 	}
 	m.OnNewerRevision = c.onNewerRevision
@@ -152,20 +153,20 @@
 	return 0
 }
 
-// apply puts a configuration in force unless the same version or a newer one is. The source is "store" or the address
-// of the instance that sent it.
-func (c *configurationManager) apply(specification []byte, source string) error {
+// apply puts a configuration in force unless the same version or a newer one is, and returns its version. The source is
+// "store" or the address of the instance that sent it.
+func (c *configurationManager) apply(specification []byte, source string) (version uint64, err error) {
 	next, err := c.decode(specification)
 	if err != nil {
 		c.event.Log(event.ConfigurationRefused,
 			event.F("from", source), event.F("code", int(result.CodeOf(err))), event.F("error", err.Error()))
-		return err
+		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.current.Load()
 	if before != nil && before.Version >= next.Version {
-		return nil
+		return next.Version, nil
 	}
 	active := &activeConfiguration{Configuration: next, specification: specification, activatedAt: time.Now()}
 	if before == nil {
@@ -188,7 +189,7 @@
 		fields = append(fields, event.F("behind_ms", time.Since(*since).Milliseconds()))
 	}
 	c.event.Log(event.ConfigurationInForce, fields...)
-	return nil
+	return next.Version, nil
 }
 
 // diff returns the objects that were added, changed or removed; a removed one is nil.
@@ -243,20 +244,35 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	c.reads.Add(1)
-	requestedAt := time.Now()
+	inForce, requestedAt := c.version(), time.Now()
 	s, err := c.store.Configuration(ctx)
 	c.recordStoreResult(err)
+	if result.Is(err, result.PlatformNotFound) {
+		c.recordStored(0, inForce)
+	}
 	if err != nil {
 		return false
 	}
-	if c.apply(s.Specification, "store") != nil {
+	c.generations.observe(s.Position.Generation)
+	version, err := c.apply(s.Specification, "store")
+	if err != nil {
 		return false
 	}
-	c.advanceRevision(s.Revision)
+	c.recordStored(version, inForce)
+	c.advanceRevision(s.Position.Revision)
 	c.confirm(requestedAt)
 	return true
 }
 
+// recordStored records which version the store holds, compared with the one that was in force when it was asked.
+func (c *configurationManager) recordStored(stored, inForce uint64) {
+	if stored >= inForce {
+		return
+	}
+	c.olderReads.Add(1)
+	c.event.Log(event.StoreBehind, event.F("stored", stored), event.F("version", inForce))
+}
+
 // advanceRevision records the revision of a configuration that the store returned, unless a higher one is recorded.
 func (c *configurationManager) advanceRevision(r uint64) {
 	for {
@@ -273,6 +289,7 @@
 	defer cancel()
 	c.cancelWatch.Store(&cancel)
 	c.watches.Add(1)
+	inForce := c.version()
 	s, ok, err := c.store.AwaitConfiguration(ctx, c.storeRevision.Load(), watchDuration)
 	if ctx.Err() != nil && err != nil {
 		err = result.Wrap(result.PlatformUnavailable, err, "the store did not respond to the watch call")
@@ -281,9 +298,13 @@
 	if err != nil {
 		return false
 	}
+	c.generations.observe(s.Position.Generation)
 	if ok {
-		_ = c.apply(s.Specification, "store") // a rejected configuration is logged, and the next version replaces it
-		c.advanceRevision(s.Revision)
+		// a rejected configuration is logged, and the next version replaces it
+		if version, err := c.apply(s.Specification, "store"); err == nil {
+			c.recordStored(version, inForce)
+		}
+		c.advanceRevision(s.Position.Revision)
 	}
 	c.confirm(time.Now())
 	return true
@@ -409,8 +430,10 @@
 		c.event.Log(event.StateRefused, event.F("from", addr.String()), event.F("code", int(result.CodeOf(err))))
 		return false
 	}
-	if response.Specification != nil && c.apply(response.Specification, addr.String()) != nil {
-		return false
+	if response.Specification != nil {
+		if _, err := c.apply(response.Specification, addr.String()); err != nil {
+			return false
+		}
 	}
 	if c.version() <= response.Version {
 		c.confirm(requestedAt.Add(-response.age()))
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -33,6 +33,9 @@
 	gauge("store_reads_total", "Configurations read from the store.", func() float64 { return float64(c.reads.Load()) })
 	gauge("store_waits_total", "Waits at the store for a configuration.", func() float64 { return float64(c.watches.Load()) })
 	gauge("store_failed_total", "Calls of the store that failed.", func() float64 { return float64(c.failures.Load()) })
+	gauge("store_older_total", "Responses of the store with an older configuration than the one in force here.", func() float64 {
+		return float64(c.olderReads.Load())
+	})
 	gauge("configuration_confirmed_age_seconds", "Seconds since the store confirmed the configuration in force here.", func() float64 {
 		return c.confirmationAge(time.Now()).Seconds()
 	})
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -24,12 +24,21 @@
 	Register(ctx context.Context, c Contact) error
 }
 
+// Position is a point in the history of the store.
+type Position struct {
+	// Generation is the generation of the store, which rises each time it comes back from an older copy, without its latest
+	// writes. It then gives out the revisions of these again.
+	Generation uint64
+	// Revision is the store's revision.
+	Revision uint64
+}
+
 // StoredConfiguration is a configuration as the store holds it.
 type StoredConfiguration struct {
 	// Specification is the encoded configuration, as the operator wrote it.
 	Specification []byte
-	// Revision is the store's revision of the configuration; AwaitConfiguration waits for a later one.
-	Revision uint64
+	// Position is where the store's history holds it; AwaitConfiguration waits for a later one.
+	Position Position
 }
 
 // Contact is a registered instance that other instances can ask when they join the fleet.
@@ -44,6 +53,8 @@
 	Contacts []Contact
 	// Next is the name behind which the next page starts, "" on the last page.
 	Next string
+	// Generation is the generation of the store.
+	Generation uint64
 }
 
 // Configuration is the operator's complete configuration.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -50,7 +50,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stored = sidecar.StoredConfiguration{Specification: data, Revision: m.stored.Revision + 1}
+	m.stored.Specification = data
+	m.stored.Position.Revision++
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -70,7 +71,7 @@
 	if m.unavailable {
 		return sidecar.StoredConfiguration{}, result.New(result.PlatformUnavailable, "the store is unavailable")
 	}
-	if m.stored.Revision == 0 {
+	if m.stored.Position.Revision == 0 {
 		return sidecar.StoredConfiguration{}, result.New(result.PlatformNotFound, "no configuration")
 	}
 	return m.stored, nil
@@ -87,7 +88,7 @@
 		if unavailable {
 			return s, false, result.New(result.PlatformUnavailable, "the store is unavailable")
 		}
-		if !watchesHang && s.Revision > after {
+		if !watchesHang && s.Position.Revision > after {
 			return s, true, nil
 		}
 		if watchesHang {
