--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,14 +21,6 @@
 )
 
 const (
-	// watchersPerDomain is how many instances of a failure domain watch the store. With two of them, one that is cut off
-	// from the store does not keep new configurations from its failure domain.
-	watchersPerDomain = 2
-	// watchDuration is how long one watch call at the store lasts. A connection that stopped responding is noticed after
-	// it.
-	watchDuration = 6 * time.Second
-	// watchGrace is how long after the end of a watch call its response may arrive.
-	watchGrace = time.Second
 	// storeTimeout bounds every other call to the store: many times its usual latency of 4 ms, and well within the time
 	// in which a configuration has to be in force.
 	storeTimeout = 800 * time.Millisecond
@@ -283,78 +274,6 @@
 	}
 }
 
-// watchStore makes one watch call and applies a configuration that it returns; it reports whether the store responded.
-func (c *configurationManager) watchStore(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, watchDuration+watchGrace)
-	defer cancel()
-	c.cancelWatch.Store(&cancel)
-	c.watches.Add(1)
-	inForce := c.version()
-	s, ok, err := c.store.AwaitConfiguration(ctx, c.storeRevision.Load(), watchDuration)
-	if ctx.Err() != nil && err != nil {
-		err = result.Wrap(result.PlatformUnavailable, err, "the store did not respond to the watch call")
-	}
-	c.recordStoreResult(err)
-	if err != nil {
-		return false
-	}
-	c.generations.observe(s.Position.Generation)
-	if ok {
-		// a rejected configuration is logged, and the next version replaces it
-		if version, err := c.apply(s.Specification, "store"); err == nil {
-			c.recordStored(version, inForce)
-		}
-		c.advanceRevision(s.Position.Revision)
-	}
-	c.confirm(time.Now())
-	return true
-}
-
-// confirm records that the store held the configuration in force at a time, unless a later confirmation is recorded.
-func (c *configurationManager) confirm(at time.Time) {
-	for {
-		old := c.confirmedAt.Load()
-		if old != nil && !at.After(*old) || c.confirmedAt.CompareAndSwap(old, &at) {
-			return
-		}
-	}
-}
-
-// confirmationAge returns how long ago the store confirmed the configuration, to this instance or to the one that
-// passed the confirmation on; it is the longest duration before the first confirmation.
-func (c *configurationManager) confirmationAge(now time.Time) time.Duration {
-	at := c.confirmedAt.Load()
-	if at == nil {
-		return math.MaxInt64
-	}
-	return now.Sub(*at)
-}
-
-// confirmationsPerRevocation is how often, within the revocation deadline, an instance that fails closed has its
-// configuration confirmed.
-const confirmationsPerRevocation = 3
-
-// failOpenInterval is how often an instance that fails open checks whether changed settings make it fail closed: as
-// often as the settings file is read.
-const failOpenInterval = 2 * time.Second
-
-// keepConfirmed keeps the configuration confirmed while the settings make the instance fail closed, by the store or
-// else by another instance, until ctx ends.
-func (c *configurationManager) keepConfirmed(ctx context.Context) {
-	for ctx.Err() == nil {
-		b := c.bounds()
-		if !b.FailClosed {
-			wait.Sleep(ctx, failOpenInterval)
-			continue
-		}
-		interval := b.RevocationDeadline / confirmationsPerRevocation
-		if c.version() > 0 && c.confirmationAge(time.Now()) > interval/2 && !c.readStore(ctx) {
-			c.askPeers(ctx)
-		}
-		wait.Sleep(ctx, interval/2+rand.N(interval/2))
-	}
-}
-
 // recordStoreResult counts failed calls to the store, and logs when the store becomes unavailable and when it is
 // available again.
 func (c *configurationManager) recordStoreResult(err error) {
@@ -374,18 +293,6 @@
 	c.event.Log(event.PlatformBack)
 }
 
-// awaitWatcherRole returns when this instance is one of its failure domain's watchers, or when ctx ends.
-func (c *configurationManager) awaitWatcherRole(ctx context.Context) {
-	for ctx.Err() == nil && !c.isWatcher() {
-		wait.Sleep(ctx, roleCheckInterval)
-	}
-}
-
-// isWatcher reports whether this instance is one of its failure domain's watchers.
-func (c *configurationManager) isWatcher() bool {
-	return slices.Contains(c.members.Directory().SelectInstances(c.self.Domain, "watch", watchersPerDomain), c.self.ID)
-}
-
 // followPeers fetches the newer configurations that other instances announce, until ctx ends.
 func (c *configurationManager) followPeers(ctx context.Context) {
 	for {
@@ -441,13 +348,6 @@
 	return true
 }
 
-// restartWatch cancels the watch call in flight, which missed a change, so that a new one begins.
-func (c *configurationManager) restartWatch() {
-	if cancel := c.cancelWatch.Load(); cancel != nil {
-		(*cancel)()
-	}
-}
-
 // askPeers fetches the configuration from other instances in random order, up to maxPeersAsked of them, until one
 // succeeds and a configuration is in force.
 func (c *configurationManager) askPeers(ctx context.Context) {
@@ -495,16 +395,3 @@
 	}
 	return nil
 }
-
-// checkFreshness returns an error if the instance fails closed and its configuration was not confirmed within the
-// revocation deadline: a key that was revoked in the meantime could still be accepted.
-func (c *configurationManager) checkFreshness(b Bounds, now time.Time) error {
-	if !b.FailClosed {
-		return nil
-	}
-	age := c.confirmationAge(now)
-	if age <= b.RevocationDeadline {
-		return nil
-	}
-	return result.New(result.NoStanding, "the configuration was last confirmed %v ago", age.Round(time.Millisecond))
-}
--- /dev/null
+++ b/sidecar/watch.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"amaranthstile/internal/wait"
+	"amaranthstile/result"
+)
+
+const (
+	// watchersPerDomain is how many instances of a failure domain watch the store. With two of them, one that is cut off
+	// from the store does not keep new configurations from its failure domain.
+	watchersPerDomain = 2
+	// watchDuration is how long one watch call at the store lasts. A connection that stopped responding is noticed after
+	// it.
+	watchDuration = 6 * time.Second
+	// watchGrace is how long after the end of a watch call its response may arrive.
+	watchGrace = time.Second
+)
+
+// watchStore makes one watch call and applies a configuration that it returns; it reports whether the store responded.
+func (c *configurationManager) watchStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, watchDuration+watchGrace)
+	defer cancel()
+	c.cancelWatch.Store(&cancel)
+	c.watches.Add(1)
+	inForce := c.version()
+	s, ok, err := c.store.AwaitConfiguration(ctx, c.storeRevision.Load(), watchDuration)
+	if ctx.Err() != nil && err != nil {
+		err = result.Wrap(result.PlatformUnavailable, err, "the store did not respond to the watch call")
+	}
+	c.recordStoreResult(err)
+	if err != nil {
+		return false
+	}
+	c.generations.observe(s.Position.Generation)
+	if ok {
+		// a rejected configuration is logged, and the next version replaces it
+		if version, err := c.apply(s.Specification, "store"); err == nil {
+			c.recordStored(version, inForce)
+		}
+		c.advanceRevision(s.Position.Revision)
+	}
+	c.confirm(time.Now())
+	return true
+}
+
+// awaitWatcherRole returns when this instance is one of its failure domain's watchers, or when ctx ends.
+func (c *configurationManager) awaitWatcherRole(ctx context.Context) {
+	for ctx.Err() == nil && !c.isWatcher() {
+		wait.Sleep(ctx, roleCheckInterval)
+	}
+}
+
+// isWatcher reports whether this instance is one of its failure domain's watchers.
+func (c *configurationManager) isWatcher() bool {
+	return slices.Contains(c.members.Directory().SelectInstances(c.self.Domain, "watch", watchersPerDomain), c.self.ID)
+}
+
+// restartWatch cancels the watch call in flight, which missed a change, so that a new one begins.
+func (c *configurationManager) restartWatch() {
+	if cancel := c.cancelWatch.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
