sidecar: Begin watches anew when the store comes back from an older copy

After a restore the watches asked from a revision of the lost count: they were refused until the new count had passed it, and then went on as if nothing had been given out again below it. A change in between was found by the turns to read alone. Cause: a revision was taken for a point in the store's history, but the store gives revisions out again. Class: a number without the generation that it counts in. Change: a position is a generation and a revision. A watch that began in another generation counts as one whose history is gone, and is followed by a read at once.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -87,8 +87,8 @@
 	// confirmedAt is when the store last confirmed the configuration, nil before the first time. Its monotonic reading
 	// keeps the age right when the time of day is stepped.
 	confirmedAt atomic.Pointer[time.Time]
-	// storeRevision is the highest revision that the store returned with a configuration.
-	storeRevision    atomic.Uint64
+	// storePosition is the latest position that the store returned with a configuration; nil before the first one.
+	storePosition    atomic.Pointer[Position]
 	storeUnavailable atomic.Bool
 	generations      *generations
 	// behindSince is when another instance first announced a newer version than the one in force; nil while none is
@@ -250,7 +250,7 @@
 		return false
 	}
 	c.recordStored(version, inForce)
-	c.advanceRevision(s.Position.Revision)
+	c.advancePosition(s.Position)
 	c.confirm(requestedAt)
 	return true
 }
@@ -264,16 +264,24 @@
 	c.event.Log(event.StoreBehind, event.F("stored", stored), event.F("version", inForce))
 }
 
-// advanceRevision records the revision of a configuration that the store returned, unless a higher one is recorded.
-func (c *configurationManager) advanceRevision(r uint64) {
+// advancePosition records the position of a configuration that the store returned, unless a later one is recorded.
+func (c *configurationManager) advancePosition(p Position) {
 	for {
-		old := c.storeRevision.Load()
-		if r <= old || c.storeRevision.CompareAndSwap(old, r) {
+		old := c.storePosition.Load()
+		if old != nil && !old.Before(p) || c.storePosition.CompareAndSwap(old, &p) {
 			return
 		}
 	}
 }
 
+// position returns the latest position that the store returned with a configuration, which watches go on from.
+func (c *configurationManager) position() Position {
+	if p := c.storePosition.Load(); p != nil {
+		return *p
+	}
+	return Position{}
+}
+
 // recordStoreResult counts failed calls to the store, and logs when the store becomes unavailable and when it is
 // available again.
 func (c *configurationManager) recordStoreResult(err error) {
--- a/sidecar/key_check_test.go
+++ b/sidecar/key_check_test.go
@@ -28,7 +28,7 @@
 }
 
 // AwaitConfiguration implements sidecar.Store.
-func (s *lateStore) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
+func (s *lateStore) AwaitConfiguration(ctx context.Context, after sidecar.Position, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
 	out, ok, err := s.memoryStore.AwaitConfiguration(ctx, after, wait)
 	if seen := s.seen.Load(); seen != nil {
 		<-ctx.Done()
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -14,9 +14,10 @@
 type Store interface {
 	// Configuration reads the operator's newest configuration; the error carries PlatformNotFound if there is none.
 	Configuration(ctx context.Context) (StoredConfiguration, error)
-	// AwaitConfiguration waits for a configuration that is stored after a revision. If the wait ends without one, ok is
-	// false.
-	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (s StoredConfiguration, ok bool, err error)
+	// AwaitConfiguration waits for a configuration that is stored after a position. If the wait ends without one, ok is
+	// false. The error carries PlatformHistoryGone if the store lacks the history since then, as it does if its generation
+	// is another one.
+	AwaitConfiguration(ctx context.Context, after Position, wait time.Duration) (s StoredConfiguration, ok bool, err error)
 	// Contacts reads a page of the registered instances, in the order of their names, starting behind a name. Unless fresh
 	// is set, it may miss changes of the last seconds.
 	Contacts(ctx context.Context, after string, fresh bool) (ContactPage, error)
@@ -33,6 +34,11 @@
 	Revision uint64
 }
 
+// Before reports whether p comes before q in the history of the store.
+func (p Position) Before(q Position) bool {
+	return p.Generation < q.Generation || p.Generation == q.Generation && p.Revision < q.Revision
+}
+
 // StoredConfiguration is a configuration as the store holds it.
 type StoredConfiguration struct {
 	// Specification is the encoded configuration, as the operator wrote it.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -78,7 +78,7 @@
 }
 
 // AwaitConfiguration implements sidecar.Store.
-func (m *memoryStore) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
+func (m *memoryStore) AwaitConfiguration(ctx context.Context, after sidecar.Position, wait time.Duration) (sidecar.StoredConfiguration, bool, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -88,7 +88,7 @@
 		if unavailable {
 			return s, false, result.New(result.PlatformUnavailable, "the store is unavailable")
 		}
-		if !watchesHang && s.Position.Revision > after {
+		if !watchesHang && after.Before(s.Position) {
 			return s, true, nil
 		}
 		if watchesHang {
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -20,31 +20,41 @@
 	watchGrace = time.Second
 )
 
-// watchStore makes one watch call and applies a configuration that it returns; it reports whether the store responded.
+// watchStore watches the store from the latest known position, and reads it if it lacks the history since then. It
+// reports whether the next watch can begin at once.
 func (c *configurationManager) watchStore(ctx context.Context) bool {
+	after := c.position()
+	err := c.watchFrom(ctx, after)
+	if result.Is(err, result.PlatformHistoryGone) {
+		return c.readStore(ctx) && c.position() != after
+	}
+	return err == nil
+}
+
+// watchFrom makes one watch call and applies a configuration that it returns.
+func (c *configurationManager) watchFrom(ctx context.Context, after Position) error {
 	ctx, cancel := context.WithTimeout(ctx, watchDuration+watchGrace)
 	defer cancel()
 	c.cancelWatch.Store(&cancel)
 	c.watches.Add(1)
 	inForce := c.version()
-	s, ok, err := c.store.AwaitConfiguration(ctx, c.storeRevision.Load(), watchDuration)
+	s, ok, err := c.store.AwaitConfiguration(ctx, after, watchDuration)
 	if ctx.Err() != nil && err != nil {
 		err = result.Wrap(result.PlatformUnavailable, err, "the store did not respond to the watch call")
 	}
 	c.recordStoreResult(err)
 	if err != nil {
-		return false
+		return err
 	}
-	c.generations.observe(s.Position.Generation)
 	if ok {
 		// a rejected configuration is logged, and the next version replaces it
 		if version, err := c.apply(s.Specification, "store"); err == nil {
 			c.recordStored(version, inForce)
 		}
-		c.advanceRevision(s.Position.Revision)
+		c.advancePosition(s.Position)
 	}
 	c.confirm(time.Now())
-	return true
+	return nil
 }
 
 // awaitWatcherRole returns when this instance is one of its failure domain's watchers, or when ctx ends.
