sidecar: Take no confirmation from an older copy of the store

An instance that fails closed accepted keys on a configuration that the store no longer had; one that had been cut off while a key was withdrawn would have accepted it beyond the revocation deadline, as the copy lacked the withdrawal. Cause: each answer of the store counted as a confirmation of the configuration in force, whatever version it held. Change: only a version at least as new as the one in force confirms it. Until the operator has written it again, instances that fail closed refuse keys once the deadline has passed.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -90,7 +90,9 @@
 	// storePosition is the latest position that the store returned with a configuration; nil before the first one.
 	storePosition    atomic.Pointer[Position]
 	storeUnavailable atomic.Bool
-	generations      *generations
+	// storedVersion is the version that the store held last, as far as this instance knows.
+	storedVersion atomic.Uint64
+	generations   *generations
 	// behindSince is when another instance first announced a newer version than the one in force; nil while none is
 	// announced.
 	behindSince atomic.Pointer[time.Time]
@@ -251,12 +253,13 @@
 	}
 	c.recordStored(version, inForce)
 	c.advancePosition(s.Position)
-	c.confirm(requestedAt)
+	c.confirmStored(requestedAt)
 	return true
 }
 
 // recordStored records which version the store holds, compared with the one that was in force when it was asked.
 func (c *configurationManager) recordStored(stored, inForce uint64) {
+	c.storedVersion.Store(stored)
 	if stored >= inForce {
 		return
 	}
--- a/sidecar/confirmation.go
+++ b/sidecar/confirmation.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// confirmStored records that the store was asked at a time, if it held the configuration in force. An older one, from a
+// store that came back from a copy, confirms nothing: what else the copy lacks is not known, a revoked key for example.
+func (c *configurationManager) confirmStored(at time.Time) {
+	if c.storedVersion.Load() >= c.version() {
+		c.confirm(at)
+	}
+}
+
 // confirmationAge returns how long ago the store confirmed the configuration, to this instance or to the one that
 // passed the confirmation on; it is the longest duration before the first confirmation.
 func (c *configurationManager) confirmationAge(now time.Time) time.Duration {
@@ -48,7 +56,11 @@
 			continue
 		}
 		interval := b.RevocationDeadline / confirmationsPerRevocation
-		if c.version() > 0 && c.confirmationAge(time.Now()) > interval/2 && !c.readStore(ctx) {
+		due := func() bool { return c.version() > 0 && c.confirmationAge(time.Now()) > interval/2 }
+		if due() {
+			c.readStore(ctx)
+		}
+		if due() {
 			c.askPeers(ctx)
 		}
 		wait.Sleep(ctx, interval/2+rand.N(interval/2))
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -56,6 +56,23 @@
 	m.changed = make(chan struct{})
 }
 
+// copy returns the configuration that the store holds, for restore.
+func (m *memoryStore) copy() sidecar.StoredConfiguration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stored
+}
+
+// restore lets the store come back from a copy of its configuration.
+func (m *memoryStore) restore(copied sidecar.StoredConfiguration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	copied.Position.Generation = m.stored.Position.Generation + 1
+	m.stored = copied
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // setFaults replaces the faults.
 func (m *memoryStore) setFaults(watchesHang, unavailable bool) {
 	m.mu.Lock()
@@ -85,6 +102,9 @@
 		m.mu.Lock()
 		s, watchesHang, unavailable, changed := m.stored, m.watchesHang, m.unavailable, m.changed
 		m.mu.Unlock()
+		if s.Position.Generation != after.Generation {
+			return s, false, result.New(result.PlatformHistoryGone, "the generation is over")
+		}
 		if unavailable {
 			return s, false, result.New(result.PlatformUnavailable, "the store is unavailable")
 		}
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -53,7 +53,7 @@
 		}
 		c.advancePosition(s.Position)
 	}
-	c.confirm(time.Now())
+	c.confirmStored(time.Now())
 	return nil
 }
 
