sidecar: Register again when the store comes back from an older copy

Instances whose contact was lost with the store's last seconds were never listed again, so that instances that started later could find too few others, or take a part of the fleet for the whole. Cause: an instance registered once in the life of its process, although the store can lose what it has acknowledged. Change: registration holds for a generation of the store. An instance that learns of a later one, by any of its calls, registers again; each learns of it by itself, within a minute at the latest, so that they don't all write at once.

--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -54,7 +54,7 @@
 		Store:  fixedStore{stored: StoredConfiguration{Specification: specification, Position: Position{Revision: 1}}},
 		Decode: func(data []byte) (out *Configuration, err error) { return out, json.Unmarshal(data, &out) },
 		Events: event.Discard(),
-	}, DefaultBounds, members, calls, self)
+	}, DefaultBounds, members, calls, self, newGenerations(event.Discard()))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go c.followPeers(ctx)
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -106,11 +106,11 @@
 type storeCounters struct{ reads, watches, failures, olderReads atomic.Uint64 }
 
 func newConfigurationManager(
-	o Options, bounds func() Bounds, m *gossip.Members, calls *link.ControlClient, self membership.Record,
+	o Options, bounds func() Bounds, m *gossip.Members, calls *link.ControlClient, self membership.Record, g *generations,
 ) *configurationManager {
 	c := &configurationManager{
 		store: o.Store, decode: o.Decode, members: m, calls: calls, event: o.Events, self: self,
-		bounds: bounds, generations: &generations{event: o.Events},
+		bounds: bounds, generations: g,
 		loaded: make(chan struct{}), newerRevisions: make(chan membership.NewerRevision, 1),
 	}
 	m.OnNewerRevision = c.onNewerRevision
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -48,11 +48,15 @@
 	self    membership.Record
 	peers   []netip.AddrPort
 	event   *event.Logger
+	// generations tells when the store came back from an older copy, which may lack the contact of this instance.
+	generations *generations
 
-	registered bool // this instance wrote its contact
+	registered   bool   // this instance wrote its contact
+	registeredIn uint64 // the generation of the store in which it did so last
 }
 
-// run registers this instance in the store and joins the listed instances, until ctx ends.
+// run registers this instance in the store, again in each generation of the store, and joins the listed instances, until
+// ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	d.members.Join(d.peers)
 	backoff := wait.Backoff{Min: minBackoff, Max: maxBackoff}
@@ -67,7 +71,22 @@
 		backoff.Reset()
 		foundUnknown := d.syncWithUnknown(found) > 0
 		interval = nextContactInterval(interval, cursor.readings, foundUnknown, len(d.members.Directory().Records()) <= 1)
-		wait.Sleep(ctx, interval/2+rand.N(interval))
+		d.sleep(ctx, interval/2+rand.N(interval))
+	}
+}
+
+// sleep waits for a time, or until this instance has to register again.
+func (d *discovery) sleep(ctx context.Context, duration time.Duration) {
+	newest, changed := d.generations.current()
+	if newest > d.registeredIn {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
 	}
 }
 
@@ -87,10 +106,9 @@
 // registration.
 func (d *discovery) registerAndRead(ctx context.Context, cursor *contactCursor) ([]Contact, error) {
 	var registerErr error
-	if !d.registered {
+	if newest, _ := d.generations.current(); !d.registered || newest > d.registeredIn {
 		registerErr = d.register(ctx)
 		d.logFailure("register", registerErr)
-		d.registered = registerErr == nil
 	}
 	found, err := d.readContacts(ctx, cursor)
 	d.logFailure("contacts", err)
@@ -139,6 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.generations.observe(page.Generation)
 	cursor.advance(page)
 	addresses := slices.Clone(d.peers)
 	for _, c := range page.Contacts {
@@ -152,9 +171,12 @@
 func (d *discovery) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := d.store.Register(ctx, Contact{Name: d.self.Name, Domain: d.self.Domain, Control: d.self.Control})
-	if result.Is(err, result.PlatformConflict) {
-		return nil // another process with this instance's name registered at the same time
+	newest, _ := d.generations.current()
+	generation, err := d.store.Register(ctx, Contact{Name: d.self.Name, Domain: d.self.Domain, Control: d.self.Control})
+	if err != nil && !result.Is(err, result.PlatformConflict) {
+		return err // a conflict means that another process with this instance's name registered at the same time
 	}
-	return err
+	d.registered, d.registeredIn = true, max(generation, newest)
+	d.generations.observe(generation)
+	return nil
 }
--- a/sidecar/generation.go
+++ b/sidecar/generation.go
@@ -10,8 +10,13 @@
 type generations struct {
 	event *event.Logger
 
-	mu     sync.Mutex
-	newest uint64
+	mu      sync.Mutex
+	newest  uint64
+	changed chan struct{} // closed when a later generation is observed
+}
+
+func newGenerations(e *event.Logger) *generations {
+	return &generations{event: e, changed: make(chan struct{})}
 }
 
 // observe records the generation of a response.
@@ -25,4 +30,13 @@
 		g.event.Log(event.PlatformRestored, event.F("generation", generation), event.F("before", g.newest))
 	}
 	g.newest = generation
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// current returns the latest known generation, and a channel that is closed when a later one is known.
+func (g *generations) current() (newest uint64, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.newest, g.changed
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -129,9 +129,10 @@
 	}
 	i.members = gossip.New(owner.New(i.system), self, i.listeners.membership, i.calls, i.options.Events)
 	i.members.Traffic = &i.traffic
-	i.configuration = newConfigurationManager(i.options, i.bounds, i.members, i.calls, self)
+	g := newGenerations(i.options.Events)
+	i.configuration = newConfigurationManager(i.options, i.bounds, i.members, i.calls, self, g)
 	i.discovery = &discovery{
-		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events,
+		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events, generations: g,
 	}
 	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints)
 	i.quotas = newQuotas(i)
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -21,8 +21,9 @@
 	// Contacts reads a page of the registered instances, in the order of their names, starting behind a name. Unless fresh
 	// is set, it may miss changes of the last seconds.
 	Contacts(ctx context.Context, after string, fresh bool) (ContactPage, error)
-	// Register writes the contact of this instance and replaces an earlier one with the same name.
-	Register(ctx context.Context, c Contact) error
+	// Register writes the contact of this instance and replaces an earlier one with the same name. It returns the
+	// generation of the store that holds it.
+	Register(ctx context.Context, c Contact) (generation uint64, err error)
 }
 
 // Position is a point in the history of the store.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -167,11 +167,11 @@
 }
 
 // Register implements sidecar.Store.
-func (m *memoryStore) Register(_ context.Context, c sidecar.Contact) error {
+func (m *memoryStore) Register(_ context.Context, c sidecar.Contact) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.contacts[c.Name] = c
-	return nil
+	return m.stored.Position.Generation, nil
 }
 
 func decode(data []byte) (*sidecar.Configuration, error) {
