sidecar: Compare the first configuration with other instances before serving it

A starting instance served what the store returned. If the store had come back from an older copy, a withdrawn key worked there again, and routes that had been added got 404, until the membership told of a newer version. Cause: the store was taken for the newest source there is, although the other instances can hold what it lost. Change: before it serves requests, an instance asks three others, known from the list in the store or the membership, for a newer configuration: for 0.5 s at most, and for 50 ms more once one has answered. So also one that loaded its configuration from an instance that is behind. Until then requests are refused as before the first configuration (503, not run).

--- /dev/null
+++ b/sidecar/comparison.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// comparisonTimeout bounds how long a starting instance compares its configuration with those of other instances. It
+	// serves no requests meanwhile.
+	comparisonTimeout = 500 * time.Millisecond
+	// comparisonGrace is how long after the first response the others may take.
+	comparisonGrace = 50 * time.Millisecond
+	// membershipPollInterval is how often a starting instance looks for other instances in the membership.
+	membershipPollInterval = 20 * time.Millisecond
+)
+
+// compareWithPeers asks a few other instances for a newer configuration than the one loaded at the start. The store may
+// have come back from an older copy, and an instance asked while the store was unavailable may be behind.
+func (c *configurationManager) compareWithPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, comparisonTimeout)
+	defer cancel()
+	addresses := c.awaitContacts(ctx)
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	addresses = addresses[:min(len(addresses), maxPeersAsked)]
+	responses := make(chan bool, len(addresses))
+	for _, a := range addresses {
+		go func() { responses <- c.fetchFrom(ctx, a) }()
+	}
+	var grace <-chan time.Time
+	for range addresses {
+		select {
+		case ok := <-responses:
+			if ok && grace == nil {
+				grace = time.After(comparisonGrace)
+			}
+		case <-grace:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// awaitContacts waits until other instances are known, by the membership or the list in the store, or until ctx ends. It
+// returns their control addresses.
+func (c *configurationManager) awaitContacts(ctx context.Context) []netip.AddrPort {
+	ticker := time.NewTicker(membershipPollInterval)
+	defer ticker.Stop()
+	var out []netip.AddrPort
+	for len(out) == 0 && ctx.Err() == nil {
+		select {
+		case out = <-c.contacts:
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+		for _, r := range c.members.All() {
+			out = append(out, r.Control)
+		}
+		out = slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == c.self.Control })
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return slices.Compact(out)
+}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -82,7 +82,8 @@
 
 	mu             sync.Mutex // held while a configuration is put in force
 	current        atomic.Pointer[activeConfiguration]
-	loaded         chan struct{} // closed once the first configuration is in force
+	compared       atomic.Bool           // the first configuration was compared with those of other instances
+	contacts       chan []netip.AddrPort // of other instances, as first listed in the store
 	newerRevisions chan membership.NewerRevision
 	// confirmedAt is when the store last confirmed the configuration, nil before the first time. Its monotonic reading
 	// keeps the age right when the time of day is stepped.
@@ -111,7 +112,7 @@
 	c := &configurationManager{
 		store: o.Store, decode: o.Decode, members: m, calls: calls, event: o.Events, self: self,
 		bounds: bounds, generations: g,
-		loaded: make(chan struct{}), newerRevisions: make(chan membership.NewerRevision, 1),
+		contacts: make(chan []netip.AddrPort, 1), newerRevisions: make(chan membership.NewerRevision, 1),
 	}
 	m.OnNewerRevision = c.onNewerRevision
 	return c
@@ -130,9 +131,9 @@
 	}
 }
 
-// view returns what the request path reads, or nil before the first configuration.
+// view returns what the request path reads, or nil before the first configuration was loaded and compared.
 func (c *configurationManager) view() *entry.Config {
-	if active := c.current.Load(); active != nil {
+	if active := c.current.Load(); active != nil && c.compared.Load() {
 		return &active.view
 	}
 	return nil
@@ -170,9 +171,6 @@
 	active.view.Limits = next.Limits
 	active.view.Revision = next.Version
 	c.current.Store(active)
-	if before.Version == 0 {
-		close(c.loaded)
-	}
 	c.members.SetRevision(next.Version)
 	fields := []event.Field{
 		event.F("version", next.Version), event.F("before", before.Version), event.F("from", source),
@@ -210,6 +208,8 @@
 		backoff.Wait(ctx)
 		c.awaitFirstConfiguration(ctx)
 	}
+	c.compareWithPeers(ctx)
+	c.compared.Store(true)
 	backoff.Reset()
 	for ctx.Err() == nil {
 		c.awaitWatcherRole(ctx)
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -48,6 +48,8 @@
 	self    membership.Record
 	peers   []netip.AddrPort
 	event   *event.Logger
+	// onFirstContacts is called with the addresses that the first reading lists.
+	onFirstContacts func([]netip.AddrPort)
 	// generations tells when the store came back from an older copy, which may lack the contact of this instance.
 	generations *generations
 
@@ -158,12 +160,15 @@
 		return nil, err
 	}
 	d.generations.observe(page.Generation)
-	cursor.advance(page)
 	addresses := slices.Clone(d.peers)
 	for _, c := range page.Contacts {
 		addresses = append(addresses, c.Control)
 	}
 	d.members.Join(addresses)
+	if cursor.readings == 0 {
+		d.onFirstContacts(addresses)
+	}
+	cursor.advance(page)
 	return page.Contacts, nil
 }
 
--- a/sidecar/restored_store_test.go
+++ b/sidecar/restored_store_test.go
@@ -39,3 +39,26 @@
 		eventually(t, bounds.RevocationDeadline, "the key is accepted again", func() bool { return use(n) == http.StatusOK })
 	}
 }
+
+// TestStartingInstanceDoesNotServeAnOlderCopy starts an instance while the store holds an older configuration than the
+// others have in force: a key that they no longer accept must not work there either.
+func TestStartingInstanceDoesNotServeAnOlderCopy(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	store.put(t, configurationWithKeys(1, withoutLimit, "kept", "withdrawn"))
+	a, b := start(t, store, 1, "x"), start(t, store, 2, "y")
+	older := store.copy()
+	store.put(t, configurationWithKeys(2, withoutLimit, "kept"))
+	for _, n := range []*node{a, b} {
+		eventually(t, 10*time.Second, "version 2 is in force", func() bool {
+			return n.do(t, http.MethodPost, "/keyed/x", "kept") == http.StatusOK &&
+				n.do(t, http.MethodPost, "/keyed/x", "withdrawn") == http.StatusUnauthorized
+		})
+	}
+	store.restore(older)
+	c := start(t, store, 3, "x")
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		is.True(c.do(t, http.MethodPost, "/keyed/x", "withdrawn") != http.StatusOK)
+	}
+	is.Equal(c.do(t, http.MethodPost, "/keyed/x", "kept"), http.StatusOK)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -7,6 +7,8 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -133,6 +135,7 @@
 	i.configuration = newConfigurationManager(i.options, i.bounds, i.members, i.calls, self, g)
 	i.discovery = &discovery{
 		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events, generations: g,
+		onFirstContacts: func(a []netip.AddrPort) { i.configuration.contacts <- slices.Clone(a) },
 	}
 	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints)
 	i.quotas = newQuotas(i)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -32,7 +32,7 @@
 // Ready reports whether the instance takes requests: a configuration is in force, another instance is known and no
 // shutdown has begun.
 func (i *Instance) Ready() bool {
-	return !i.stopping.Load() && i.configuration.version() > 0 && len(i.members.Directory().Records()) > 1
+	return !i.stopping.Load() && i.configuration.view() != nil && len(i.members.Directory().Records()) > 1
 }
 
 // Stop shuts down gracefully. It reports itself as not ready to the platform and as draining to the other instances,
