exit: Ignore a refusal that belongs to an earlier request

Another operator's report: a backend server writes an earlier refusal once more on a kept connection. Here the request that it had been sent, and may have run, was told to be "not run" and went to a second backend server, or the client was told to try again. Cause: the exit side read that a response says "not run" before it looked at which request the response belongs to; the check of the ID came only for other responses.

--- a/exit/handler.go
+++ b/exit/handler.go
@@ -248,7 +248,7 @@
 			w.Header().Set(link.HeaderStatement, info.Statement.Format(0))
 		}
 	}
-	if info.NotRun || info.Replaced {
+	if !info.Crossed && (info.NotRun || info.Replaced) {
 		outcome = backend.OutcomeShed
 		h.writeRejection(w, r, e, info)
 		return
