sidecar: Hand out shares alone after joining a running fleet

Cause: an instance that nobody has called, and that knows no level, took an account for new. Change: the instances asked at the start say for how long they have served. If one has for longer than a fleet takes to start, a takeover begins, as when a caller tells that an account moved.

--- a/quota/takeover.go
+++ b/quota/takeover.go
@@ -20,13 +20,17 @@
 // that instance knows.
 func (t *Takeover) RecordCall(now time.Time, instance string, moved bool) {
 	if moved && !t.active(now) {
-		t.startedAt, t.calledBy = now, make(map[string]struct{})
+		t.Start(now)
 	}
 	if t.active(now) {
 		t.calledBy[instance] = struct{}{}
 	}
 }
 
+// Start begins a move of accounts. A coordinator calls it when it joins a fleet that was there before: it may get accounts
+// of which it knows no spending, before any instance that knows the previous coordinator has called.
+func (t *Takeover) Start(now time.Time) { t.startedAt, t.calledBy = now, make(map[string]struct{}) }
+
 // active reports whether some instances may not know of the move yet.
 func (t *Takeover) active(now time.Time) bool {
 	return !t.startedAt.IsZero() && now.Sub(t.startedAt) < maxViewDelay
--- a/sidecar/comparison.go
+++ b/sidecar/comparison.go
@@ -14,6 +14,8 @@
 	comparisonTimeout = 500 * time.Millisecond
 	// comparisonGrace is how long after the first response the others may take.
 	comparisonGrace = 50 * time.Millisecond
+	// fleetStartSpread is the longest time between the first requests of two instances of a fleet that starts as a whole.
+	fleetStartSpread = 2 * time.Second
 	// membershipPollInterval is how often a starting instance looks for other instances in the membership.
 	membershipPollInterval = 20 * time.Millisecond
 )
@@ -45,6 +47,25 @@
 	}
 }
 
+// recordServing records for how long another instance has served requests.
+func (c *configurationManager) recordServing(millis int64) {
+	for {
+		old := c.longestServing.Load()
+		if millis <= old || c.longestServing.CompareAndSwap(old, millis) {
+			return
+		}
+	}
+}
+
+// serve lets requests be served from now on.
+func (c *configurationManager) serve() {
+	if time.Duration(c.longestServing.Load())*time.Millisecond > fleetStartSpread {
+		c.onJoined()
+	}
+	now := time.Now()
+	c.servingSince.Store(&now)
+}
+
 // awaitContacts waits until other instances are known, by the membership or the list in the store, or until ctx ends. It
 // returns their control addresses.
 func (c *configurationManager) awaitContacts(ctx context.Context) []netip.AddrPort {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -56,6 +56,8 @@
 	Specification []byte `json:"specification,omitempty"`
 	// AgeMillis is how long ago the store confirmed the configuration, directly or through another instance.
 	AgeMillis int64 `json:"age"`
+	// ServingMillis is for how long the responding instance has served requests.
+	ServingMillis int64 `json:"serving,omitempty"`
 }
 
 // age returns how long ago the store confirmed the configuration, 0 if the other instance states a negative age.
@@ -80,9 +82,12 @@
 	event   *event.Logger
 	self    membership.Record
 
-	mu             sync.Mutex // held while a configuration is put in force
-	current        atomic.Pointer[activeConfiguration]
-	compared       atomic.Bool           // the first configuration was compared with those of other instances
+	mu      sync.Mutex // held while a configuration is put in force
+	current atomic.Pointer[activeConfiguration]
+	// servingSince is when the first configuration had been compared with those of other instances; nil before.
+	servingSince   atomic.Pointer[time.Time]
+	longestServing atomic.Int64          // of the instances that responded so far, in milliseconds
+	onJoined       func()                // called before the first request if the fleet was there before
 	contacts       chan []netip.AddrPort // of other instances, as first listed in the store
 	newerRevisions chan membership.NewerRevision
 	// confirmedAt is when the store last confirmed the configuration, nil before the first time. Its monotonic reading
@@ -133,7 +138,7 @@
 
 // view returns what the request path reads, or nil before the first configuration was loaded and compared.
 func (c *configurationManager) view() *entry.Config {
-	if active := c.current.Load(); active != nil && c.compared.Load() {
+	if active := c.current.Load(); active != nil && c.servingSince.Load() != nil {
 		return &active.view
 	}
 	return nil
@@ -209,7 +214,7 @@
 		c.awaitFirstConfiguration(ctx)
 	}
 	c.compareWithPeers(ctx)
-	c.compared.Store(true)
+	c.serve()
 	backoff.Reset()
 	for ctx.Err() == nil {
 		c.awaitWatcherRole(ctx)
@@ -353,6 +358,7 @@
 			return false
 		}
 	}
+	c.recordServing(response.ServingMillis)
 	if c.version() <= response.Version {
 		c.confirm(requestedAt.Add(-response.age()))
 	}
@@ -385,6 +391,9 @@
 		return nil, result.New(result.NotReady, "this instance has no configuration yet")
 	}
 	response := configurationResponse{Version: active.Version, AgeMillis: c.confirmationAge(time.Now()).Milliseconds()}
+	if since := c.servingSince.Load(); since != nil {
+		response.ServingMillis = time.Since(*since).Milliseconds()
+	}
 	if request.HaveVersion < active.Version {
 		response.Specification = active.specification
 	}
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// startTakeover lets this instance hand out, of the accounts that it coordinates, only the shares of the instances that
+// call it, until all instances know that it has joined.
+func (q *quotas) startTakeover() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.takeover.Start(time.Now())
+}
+
 // Admit implements quota.Admitter.
 func (q *quotas) Admit(ctx context.Context, account *quota.Account) error {
 	if account.Rate >= unlimitedRate {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -139,6 +139,7 @@
 	}
 	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints)
 	i.quotas = newQuotas(i)
+	i.configuration.onJoined = i.quotas.startTakeover
 	i.selector = i.newSelector()
 	i.metrics = newMetrics(i)
 	link.Register(i.control, gossip.MethodSync, i.members.HandleSync)
