--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -110,7 +111,12 @@
 	}
 	w.Header().Set("Server-Stamp", e.id+"."+id)
 	w.Header().Set("Load-Report", fmt.Sprintf("%d,0,%d", len(e.running), e.slots))
-	_, _ = io.WriteString(w, "ran "+id)
+	answer := "ran " + id
+	if strings.HasSuffix(r.URL.Path, largePath) {
+		answer += strings.Repeat(" ", largeAnswer)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
 }
 
 // sendHeartbeats sends heartbeats until ctx ends.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,10 @@
 	"drain-restart": runDrainRestart,
 	"drain-unknown": runDrainUnknown,
 	"drain-clock":   runDrainClock,
+	"stop-pipeline": runStopPipeline,
 	"quota-stop":    runQuotaStop,
 	"quota-hot":     runQuotaHot,
+	"quota-herd":    runQuotaHerd,
 }
 
 func main() {
--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -234,3 +234,52 @@
 	watch.check(hotTenant)
 	return nil
 }
+
+// runQuotaHerd kills all processes at the same moment between two batches of a tenant.
+func runQuotaHerd(r *record, trouble bool) error {
+	watch := &quotaWatch{record: r, sent: make(map[string]time.Time)}
+	f, err := newFleet(r, []string{"orders", "orders", "orders", "orders"})
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err := f.configure([]string{"orders"}, []tenant{batchTenant}); err != nil {
+		return err
+	}
+	for i, m := range f.machines {
+		if _, err := newEndpoint(m, fmt.Sprintf("i-%08x", i+1), time.Now(), 12, 5*time.Millisecond, watch.arrived); err != nil {
+			return err
+		}
+	}
+	if err := f.startAll(); err != nil {
+		return err
+	}
+	time.Sleep(stabilityWindow)
+	watch.send(f.machines[0], batchTenant)
+	r.add("the tenant sends nothing for 20 s, so that all of its burst is there")
+	time.Sleep(20 * time.Second)
+	watch.sendBatch(f.machines)
+	r.add("the first batch ends")
+	if trouble {
+		var killed sync.WaitGroup
+		for _, m := range f.machines {
+			killed.Go(func() { m.end(syscall.SIGKILL) })
+		}
+		killed.Wait()
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range f.machines {
+			if err := m.start(); err != nil {
+				return err
+			}
+		}
+	}
+	if err := f.awaitReady(); err != nil {
+		return err
+	}
+	r.add("all machines are ready")
+	time.Sleep(heartbeatInterval)
+	watch.sendBatch(f.machines)
+	r.add("the second batch ends")
+	watch.check(batchTenant)
+	return nil
+}
