--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -135,6 +135,9 @@
 			return err
 		}
 		watch.inTouchFrom(time.Now().Add(stabilityWindow))
+		if err := f.awaitReady(); err != nil {
+			return err
+		}
 	}
 	time.Sleep(time.Until(sent.Add(4 * time.Second)))
 	ok := leaving.report(context.Background(), f.machines[0].address("control"), late)
