--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -13,6 +13,10 @@
 // servingTime is how long an endpoint goes on serving after it said that it leaves.
 const servingTime = 14 * time.Second
 
+// timeBeforeLeave is how long after its start an endpoint leaves that has no acknowledgement yet: less than the second
+// that it waits for one.
+const timeBeforeLeave = 800 * time.Millisecond
+
 // drainMachines is how many machines there are, so that one endpoint is no more than a tenth.
 const drainMachines = 10
 
@@ -51,9 +55,10 @@
 // disturbed sets that a machine is not in touch.
 func (d *drainWatch) disturbed() { d.from.Store(0) }
 
-// startLoad sends unsafe requests from all machines at a steady rate until ctx ends.
+// startLoad sends unsafe requests from all machines that take new work at a steady rate until ctx ends.
 func (f *fleet) startLoad(ctx context.Context, running *sync.WaitGroup, service string, interval time.Duration) {
 	for _, m := range f.machines {
+		running.Go(func() { m.watchReadiness(ctx) })
 		running.Go(func() {
 			ticker := time.NewTicker(interval)
 			defer ticker.Stop()
@@ -63,6 +68,9 @@
 					return
 				case <-ticker.C:
 				}
+				if m.out.Load() {
+					continue
+				}
 				running.Go(func() {
 					id := newRequestID()
 					f.record.add("%s is sent on %s", id, m.name)
@@ -120,7 +128,7 @@
 	watch.inTouchFrom(time.Now())
 	leaving := endpoints[0]
 	leaving.silent.Store(true)
-	time.Sleep(heartbeatInterval)
+	time.Sleep(time.Until(time.Unix(0, leaving.lastBeat.Load()).Add(heartbeatInterval)))
 	late := leaving.heartbeat()
 	sent := time.Now()
 	r.add("endpoint %s sends a heartbeat, which is held up on the way", leaving.id)
@@ -171,7 +179,7 @@
 	if !trouble {
 		report()
 	}
-	time.Sleep(heartbeatInterval - 300*time.Millisecond)
+	time.Sleep(timeBeforeLeave)
 	if !added.leave() {
 		return errors.New("no acknowledgement of the leave")
 	}
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -32,7 +32,8 @@
 
 	sequence  atomic.Int64
 	draining  atomic.Bool
-	silent    atomic.Bool // it sends no heartbeats
+	silent    atomic.Bool  // it sends no heartbeats by itself
+	lastBeat  atomic.Int64 // when it last sent one, in Unix nanoseconds
 	running   chan struct{}
 	server    *http.Server
 	cancel    context.CancelFunc
@@ -123,6 +124,7 @@
 func (e *endpoint) sendHeartbeats(ctx context.Context) {
 	for {
 		if !e.silent.Load() {
+			e.lastBeat.Store(time.Now().UnixNano())
 			e.report(ctx, e.machine.address("control"), e.heartbeat())
 		}
 		select {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +58,7 @@
 	mu       sync.Mutex
 	process  *exec.Cmd // guarded by mu
 	client   *http.Client
+	out      atomic.Bool // it missed two readiness checks in a row, so that clients send it no new work
 }
 
 // newFleet starts the store and prepares machines; services names the service of each machine.
@@ -251,6 +254,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// watchReadiness checks the readiness each second, as the platform does, until ctx ends.
+func (m *machine) watchReadiness(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for misses := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		misses++
+		if m.ready() {
+			misses = 0
+		}
+		if out := misses >= 2; out != m.out.Swap(out) {
+			m.fleet.record.add("%s takes new work: %v", m.name, !out)
+		}
+	}
+}
+
 // startAll starts all machines and waits until they are ready.
 func (f *fleet) startAll() error {
 	for _, m := range f.machines {
