--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 for program in target/amaranth-sidecar target/review-standin; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-standin quota-stop review/5
+exec target/review-standin quota-hot review/5
--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -215,20 +215,20 @@
 			sendFrom()
 		}
 	}
-	const usual = 6 // requests per second
+	const (
+		usual = 6 // requests per second
+		more  = 14
+		most  = 7.5 * usual
+		all   = 4950 * time.Millisecond
+		end   = 850 * time.Millisecond
+	)
 	sendAt(usual, 10*time.Second)
 	if trouble {
-		// The tenant sends a little more than its rate for a while, and then two requests from each machine at once: 28
-		// a second over the window of 5 s, less than 5 times its usual.
-		r.add("the tenant sends many times its usual")
-		sendAt(13, 4800*time.Millisecond)
-		for _, m := range f.machines {
-			for range 2 {
-				running.Go(func() { watch.send(m, hotTenant) })
-			}
-		}
+		r.add("the tenant sends many times its usual: %d requests a second, and %.0f in the last %v", more, most, end)
+		sendAt(more, all-end)
+		sendAt(most, end)
 	} else {
-		sendAt(usual, 4800*time.Millisecond)
+		sendAt(usual, all)
 	}
 	running.Wait()
 	watch.check(hotTenant)
