sidecar: Remember a leave that comes before any report of its process

Cause: a leave was kept only for the process that had reported last, and each call that could be decoded was acknowledged. Evidence: no backend-left line in the log behind the acknowledgement.

Change: the state keeps departed processes apart from the known one and refuses their later reports; the reporter returns an error for what it ignores, and only what is in force is acknowledged. A drain that arrives late and the leave of a restarted process that has not reported are applied, too.

--- a/result/code.go
+++ b/result/code.go
@@ -90,6 +90,7 @@
 	IdentityTaken      Code = 5014
 	BackendShed        Code = 5015
 	BackendLimited     Code = 5016
+	ReportOutdated     Code = 5017
 
 	LinkUnreachable Code = 6001
 	LinkBroken      Code = 6002
@@ -203,6 +204,7 @@
 	{IdentityTaken, "identity-taken", http.StatusConflict, "A backend server with this identity is registered at another address."},
 	{BackendShed, "backend-shed", http.StatusServiceUnavailable, "The backend server rejected the request without running it."},
 	{BackendLimited, "backend-limited", http.StatusServiceUnavailable, "The backend server has got all requests that the limit which it names allows for now."},
+	{ReportOutdated, "report-outdated", http.StatusConflict, "The report of a backend server was ignored: what it says is out of date, or its process can't be told."},
 
 	{LinkUnreachable, "link-unreachable", http.StatusBadGateway, "The other instance does not accept connections."},
 	{LinkBroken, "link-broken", http.StatusBadGateway, "The connection to the other instance broke before a response arrived."},
--- /dev/null
+++ b/sidecar/backend_state.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthstile/result"
+)
+
+// Report is what the backend server beside the instance reports about itself.
+type Report struct {
+	// ID identifies one process of the backend server; a restarted one may use it again.
+	ID string
+	// StartTime is when that process started; reports of a process that started earlier are out of date.
+	StartTime time.Time
+	// Sequence grows with each report of one process.
+	Sequence uint64
+	Service  string
+	Address  netip.AddrPort
+	Slots    int
+	Draining bool
+	// WarmupRemaining is how much longer the backend server is slow after its start.
+	WarmupRemaining time.Duration
+}
+
+// process returns the process that the report describes.
+func (r *Report) process() BackendProcess { return newBackendProcess(r.ID, r.StartTime) }
+
+// BackendState is the state of the backend server, derived from its reports. It is a plain state machine and not safe
+// for concurrent use. The zero value knows no backend server.
+//
+// A backend server that stops reporting stays in use: during a network partition reports can be lost while requests
+// still arrive, and the admission gate notices sooner whether the backend server is reachable.
+//
+// A report or leave call for which no error is returned may be acknowledged: what it says is in force, and no later
+// arrival of an earlier message changes that.
+type BackendState struct {
+	Report
+	// Left is set when the backend server has reported that it is leaving; it gets no new requests.
+	Left bool
+	// departed are the processes that reported a drain or a leave, also those that reported nothing else.
+	departed departures
+}
+
+// Known reports whether a backend server has reported.
+func (s *BackendState) Known() bool { return s.ID != "" }
+
+// AcceptsRequests reports whether the backend server may get new requests.
+func (s *BackendState) AcceptsRequests() bool { return s.Known() && !s.Left && !s.Draining }
+
+// Apply applies a report and returns whether it changed the state. The error carries ReportOutdated if the report is
+// ignored, because a newer one arrived before it or its process has left.
+func (s *BackendState) Apply(r Report) (changed bool, err error) {
+	p := r.process()
+	switch {
+	case s.Known() && p == s.process():
+		return s.update(r)
+	case s.departed.contains(p):
+		if r.Draining {
+			return false, nil // a repeated report of a drain that is in force
+		}
+		return false, result.New(result.ReportOutdated, "the backend server %s has left", r.ID)
+	case s.Known() && r.StartTime.Before(s.StartTime):
+		return false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", r.ID)
+	}
+	s.replace(r)
+	return true, nil
+}
+
+// update applies a report of the known process.
+func (s *BackendState) update(r Report) (changed bool, err error) {
+	startsDrain := r.Draining && !s.Draining // applies also if it arrives late: a drain does not end
+	if r.Sequence < s.Sequence && !startsDrain {
+		return false, result.New(result.ReportOutdated, "a newer report of the backend server %s has arrived", r.ID)
+	}
+	before := *s
+	r.Sequence = max(r.Sequence, s.Sequence)
+	r.Draining = s.Draining || r.Draining
+	s.Report = r
+	if startsDrain {
+		s.departed.add(s.process())
+	}
+	return before.Draining != s.Draining || before.Service != s.Service || before.Address != s.Address ||
+		before.Slots != s.Slots || (before.WarmupRemaining > 0) != (s.WarmupRemaining > 0), nil
+}
+
+// replace makes the process of a report the known one.
+func (s *BackendState) replace(r Report) {
+	s.Report = r
+	s.Left = s.departed.contains(r.process())
+	if r.Draining {
+		s.departed.add(r.process())
+	}
+}
+
+// Leave records that a process of the backend server is leaving, also if it has not reported before, and reports whether
+// that changed the state. A zero start time means the known process. The error carries ReportOutdated if the process
+// can't be told.
+func (s *BackendState) Leave(id string, startTime time.Time) (changed bool, err error) {
+	p := newBackendProcess(id, startTime)
+	switch {
+	case s.ID == id && (startTime.IsZero() || p == s.process()):
+		return s.markLeft(), nil
+	case startTime.IsZero():
+		return false, result.New(result.ReportOutdated, "a process of the backend server %s leaves that is not known", id)
+	case s.ID == id && startTime.Before(s.StartTime):
+		return false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", id)
+	case s.ID == id:
+		s.markLeft() // its successor leaves before it has reported
+	}
+	return s.departed.add(p), nil
+}
+
+// markLeft records that the known process is leaving, and reports whether that changed the state.
+func (s *BackendState) markLeft() (changed bool) {
+	s.departed.add(s.process())
+	changed = !s.Left
+	s.Left = true
+	return changed
+}
--- /dev/null
+++ b/sidecar/departures.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"slices"
+	"time"
+)
+
+// BackendProcess identifies one process of a backend server.
+type BackendProcess struct {
+	// ID is the ID that the backend server chose; its next process may use it again.
+	ID string `json:"id"`
+	// StartMillis is the start time of the process in Unix milliseconds; 0 if it reports none.
+	StartMillis int64 `json:"start"`
+}
+
+func newBackendProcess(id string, startTime time.Time) BackendProcess {
+	if startTime.IsZero() {
+		return BackendProcess{ID: id}
+	}
+	return BackendProcess{ID: id, StartMillis: startTime.UnixMilli()}
+}
+
+// maxDepartures bounds the processes that an instance remembers as departed: one backend server runs beside it, and
+// reports arrive seconds late.
+const maxDepartures = 8
+
+// departures are processes of the backend server that have reported a drain or a leave, the latest last.
+type departures []BackendProcess
+
+// contains reports whether a process has departed.
+func (d departures) contains(p BackendProcess) bool { return slices.Contains(d, p) }
+
+// add adds a process, and drops the earliest one if there are too many. It reports whether the process is new.
+func (d *departures) add(p BackendProcess) bool {
+	if d.contains(p) {
+		return false
+	}
+	*d = append(*d, p)
+	if len(*d) > maxDepartures {
+		*d = slices.Clone((*d)[len(*d)-maxDepartures:])
+	}
+	return true
+}
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,77 +11,9 @@
 	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
+	"amaranthstile/result"
 )
 
-// Report is what the backend server beside the instance reports about itself.
-type Report struct {
-	// ID identifies one process of the backend server; a restarted one may use it again.
-	ID string
-	// StartTime is when that process started; reports of a process that started earlier are out of date.
-	StartTime time.Time
-	// Sequence grows with each report of one process.
-	Sequence uint64
-	Service  string
-	Address  netip.AddrPort
-	Slots    int
-	Draining bool
-	// WarmupRemaining is how much longer the backend server is slow after its start.
-	WarmupRemaining time.Duration
-}
-
-// BackendState is the state of the backend server, derived from its reports. It is a plain state machine and not safe
-// for concurrent use. The zero value knows no backend server.
-//
-// A backend server that stops reporting stays in use: during a network partition reports can be lost while requests
-// still arrive, and the admission gate notices sooner whether the backend server is reachable.
-type BackendState struct {
-	Report
-	// Left is set when the backend server has reported that it is leaving; it gets no new requests.
-	Left bool
-}
-
-// Known reports whether a backend server has reported.
-func (s *BackendState) Known() bool { return s.ID != "" }
-
-// AcceptsRequests reports whether the backend server may get new requests.
-func (s *BackendState) AcceptsRequests() bool { return s.Known() && !s.Left && !s.Draining }
-
-// isSameStart reports whether an ID and a start time are those of the known process.
-func (s *BackendState) isSameStart(id string, startTime time.Time) bool {
-	return s.ID == id && s.StartTime.Equal(startTime)
-}
-
-// Apply applies a report. It returns whether the report changed the state, and whether it was late: out of date because
-// a newer one arrived before it.
-func (s *BackendState) Apply(r Report) (changed, late bool) {
-	if !s.isSameStart(r.ID, r.StartTime) {
-		if s.Known() && r.StartTime.Before(s.StartTime) {
-			return false, true
-		}
-		*s = BackendState{Report: r}
-		return true, false
-	}
-	if r.Sequence <= s.Sequence {
-		return false, true
-	}
-	before := *s
-	draining := s.Draining || r.Draining // a later report does not end a drain
-	s.Report = r
-	s.Draining = draining
-	return before.Draining != s.Draining || before.Service != s.Service || before.Address != s.Address ||
-		before.Slots != s.Slots || (before.WarmupRemaining > 0) != (s.WarmupRemaining > 0), false
-}
-
-// Leave records that a process of the backend server is leaving, and reports whether that changed the state. A zero
-// start time means the known process.
-func (s *BackendState) Leave(id string, startTime time.Time) (changed bool) {
-	if s.ID != id || !startTime.IsZero() && startTime.Before(s.StartTime) || s.Left {
-		return false
-	}
-	s.Left = true
-	return true
-}
-
 // localBackend owns the backend server beside the instance: its state, its admission gate and its connections.
 type localBackend struct {
 	event            *event.Logger
@@ -137,33 +68,49 @@
 }
 
 // Report implements Reporter. After it returns, no new request is sent to a backend server that reported a drain.
-func (b *localBackend) Report(r Report) {
+func (b *localBackend) Report(r Report) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed, late := b.state.Apply(r)
-	id := event.BackendReported
-	if late {
-		id = event.BackendReportIgnored
-	}
-	if changed || late {
-		b.event.Log(id,
-			event.F("backend", r.ID), event.F("service", r.Service), event.F("address", r.Address.String()),
-			event.F("sequence", r.Sequence), event.F("born", r.StartTime.UnixMilli()),
-			event.F("draining", r.Draining), event.F("cold", r.WarmupRemaining.Seconds()))
+	changed, err := b.state.Apply(r)
+	if changed || err != nil {
+		b.logReport(r, err)
 	}
 	if changed {
 		b.publish()
 	}
+	return err
+}
+
+// logReport logs a report that changed the state, or was ignored because of an error.
+func (b *localBackend) logReport(r Report, err error) {
+	fields := []event.Field{
+		event.F("backend", r.ID), event.F("service", r.Service), event.F("address", r.Address.String()),
+		event.F("sequence", r.Sequence), event.F("born", r.StartTime.UnixMilli()),
+		event.F("draining", r.Draining), event.F("cold", r.WarmupRemaining.Seconds()),
+	}
+	if err != nil {
+		b.event.Log(event.BackendReportIgnored, append(fields, event.F("code", int(result.CodeOf(err))))...)
+		return
+	}
+	b.event.Log(event.BackendReported, fields...)
 }
 
 // Leave implements Reporter.
-func (b *localBackend) Leave(id string, startTime time.Time) {
+func (b *localBackend) Leave(id string, startTime time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.state.Leave(id, startTime) {
-		b.event.Log(event.BackendLeft, event.F("backend", id))
-		b.publish()
+	changed, err := b.state.Leave(id, startTime)
+	switch {
+	case err != nil:
+		b.event.Log(event.BackendReportIgnored,
+			event.F("backend", id), event.F("born", startTime.UnixMilli()), event.F("code", int(result.CodeOf(err))))
+	case changed:
+		b.event.Log(event.BackendLeft, event.F("backend", id), event.F("born", startTime.UnixMilli()))
+		if b.state.Known() {
+			b.publish()
+		}
 	}
+	return err
 }
 
 // addressTaken records that another backend server responds at the address of this one.
@@ -217,7 +164,7 @@
 // leave records that the backend server is leaving, as something other than its reports shows; the calling function
 // holds the lock.
 func (b *localBackend) leave(id, reason string) {
-	if b.state.Leave(id, time.Time{}) {
+	if b.state.ID == id && b.state.markLeft() {
 		b.event.Log(event.BackendLeft, event.F("backend", id), event.F("reason", reason))
 		b.publish()
 	}
--- a/sidecar/local_backend_test.go
+++ b/sidecar/local_backend_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"amaranthstile/result"
 )
 
 // message is one report or leave call of a backend server.
@@ -16,6 +18,14 @@
 	leaves    bool
 }
 
+// start returns the start time of the process.
+func (m message) start() time.Time {
+	if m.startTime == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(m.startTime)
+}
+
 // TestBackendState applies reports and leave calls that arrive late or out of order, and checks which backend server is
 // known in the end and whether it accepts requests.
 func TestBackendState(t *testing.T) {
@@ -39,21 +49,25 @@
 		{"successor with another ID", []message{{id: "a", startTime: 1, sequence: 9}, {id: "b", startTime: 2, sequence: 1}}, "b", true},
 		{"late report of the predecessor", []message{{id: "b", startTime: 2, sequence: 1}, {id: "a", startTime: 1, sequence: 10}}, "b", true},
 		{"leave of the predecessor", []message{{id: "b", startTime: 2, sequence: 1}, {id: "a", startTime: 1, leaves: true}}, "b", true},
+		{"report that arrives after the leave of the same process, the first message", []message{{id: "a", startTime: 1, leaves: true}, {id: "a", startTime: 1, sequence: 1}}, "", false},
+		{"report of the process after one that left as its first message", []message{{id: "a", startTime: 1, leaves: true}, {id: "a", startTime: 2, sequence: 1}}, "a", true},
+		{"leave of a successor that has not reported", []message{{id: "b", startTime: 1, sequence: 1}, {id: "a", startTime: 2, leaves: true}, {id: "a", startTime: 2, sequence: 1}}, "b", true},
+		{"leave of a restarted process that has not reported", []message{{id: "a", startTime: 1, sequence: 1}, {id: "a", startTime: 2, leaves: true}, {id: "a", startTime: 2, sequence: 1}}, "a", false},
+		{"drain that arrives after a newer report", []message{{id: "a", startTime: 1, sequence: 3}, {id: "a", startTime: 1, sequence: 2, draining: true}}, "a", false},
+		{"drained process after its successor", []message{{id: "a", startTime: 3, sequence: 1, draining: true}, {id: "b", startTime: 4, sequence: 1}, {id: "a", startTime: 3, sequence: 2}}, "b", true},
+		{"leave of an unknown process without a start time", []message{{id: "a", leaves: true}, {id: "a", startTime: 1, sequence: 1}}, "a", true},
 		{"leave without a start time", []message{{id: "a", startTime: 1, sequence: 1}, {id: "a", leaves: true}}, "a", false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			var state BackendState
 			for _, m := range row.messages {
-				var startTime time.Time
-				if m.startTime != 0 {
-					startTime = time.UnixMilli(m.startTime)
-				}
+				startTime := m.start()
 				if m.leaves {
-					state.Leave(m.id, startTime)
+					_, _ = state.Leave(m.id, startTime)
 					continue
 				}
-				state.Apply(Report{ID: m.id, StartTime: startTime, Sequence: m.sequence, Draining: m.draining})
+				_, _ = state.Apply(Report{ID: m.id, StartTime: startTime, Sequence: m.sequence, Draining: m.draining})
 			}
 			is.Equal(state.ID, row.id)
 			is.Equal(state.AcceptsRequests(), row.accepts)
@@ -61,6 +75,42 @@
 	}
 }
 
+// TestOnlyWhatIsInForceIsAcknowledged sends messages and checks the last one: it may be acknowledged only if what it says
+// is in force.
+func TestOnlyWhatIsInForceIsAcknowledged(t *testing.T) {
+	reported := message{id: "a", startTime: 2, sequence: 5}
+	for _, row := range []struct {
+		name     string
+		messages []message
+		code     result.Code
+	}{
+		{"first report", []message{reported}, result.OK},
+		{"report again", []message{reported, reported}, result.OK},
+		{"drain again after the leave", []message{reported, {id: "a", startTime: 2, leaves: true}, {id: "a", startTime: 2, sequence: 6, draining: true}}, result.OK},
+		{"leave of a process that has not reported", []message{{id: "a", startTime: 2, leaves: true}}, result.OK},
+		{"leave again", []message{{id: "a", startTime: 2, leaves: true}, {id: "a", startTime: 2, leaves: true}}, result.OK},
+		{"drain of a process that left before it reported", []message{{id: "a", startTime: 2, leaves: true}, {id: "a", startTime: 2, sequence: 1, draining: true}}, result.OK},
+		{"late report of a process that left before it reported", []message{{id: "a", startTime: 2, leaves: true}, reported}, result.ReportOutdated},
+		{"older report", []message{reported, {id: "a", startTime: 2, sequence: 4}}, result.ReportOutdated},
+		{"report of an earlier process", []message{reported, {id: "a", startTime: 1, sequence: 9}}, result.ReportOutdated},
+		{"leave of an unknown process without a start time", []message{{id: "a", leaves: true}}, result.ReportOutdated},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var state BackendState
+			var err error
+			for _, m := range row.messages {
+				if m.leaves {
+					_, err = state.Leave(m.id, m.start())
+				} else {
+					_, err = state.Apply(Report{ID: m.id, StartTime: m.start(), Sequence: m.sequence, Draining: m.draining})
+				}
+			}
+			is.Equal(result.CodeOf(err), row.code)
+		})
+	}
+}
+
 // TestFreshnessDependsOnTheAgeOfTheConfirmation covers failing open and failing closed.
 func TestFreshnessDependsOnTheAgeOfTheConfirmation(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -51,12 +51,13 @@
 	Network link.Network
 }
 
-// Reporter receives the reports of the backend server.
+// Reporter receives the reports of the backend server. A call may be acknowledged only if it returns no error: what it
+// says is then in force.
 type Reporter interface {
 	// Report records a report.
-	Report(r Report)
+	Report(r Report) error
 	// Leave records that the process of the backend server with this ID and start time is leaving.
-	Leave(id string, startTime time.Time)
+	Leave(id string, startTime time.Time) error
 }
 
 // Instance is one process of the fleet.
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -16,7 +16,7 @@
 // newReportedBackend returns a local backend whose backend server has reported, with its present upstream.
 func newReportedBackend(startTime time.Time) (*localBackend, *backend.Upstream) {
 	b := newLocalBackend(event.Discard(), func() admission.RetryBound { return admission.RetryBound{} }, func([]membership.Endpoint) {})
-	b.Report(Report{
+	_ = b.Report(Report{
 		ID: "b", StartTime: startTime, Sequence: 1, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), Slots: 1,
 	})
 	return b, b.upstreams()["b"]
@@ -27,7 +27,7 @@
 	is := is.New(t)
 	start := time.Now().Add(-time.Minute)
 	b, before := newReportedBackend(start)
-	b.Report(Report{
+	_ = b.Report(Report{
 		ID: "b", StartTime: start.Add(time.Second), Sequence: 1, Service: "s", Address: before.Address, Slots: 1,
 	})
 	b.handleStatement(before, backend.Statement{Leaving: true, Limited: true})
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -317,7 +317,7 @@
 
 // report sends the instance a report of its backend server.
 func (n *node) report(sequence uint64, draining bool) {
-	n.reporter.Report(sidecar.Report{
+	_ = n.reporter.Report(sidecar.Report{
 		ID: n.backend.id, StartTime: time.UnixMilli(1000), Sequence: sequence, Service: n.settings.Service,
 		Address: n.backend.address(), Slots: 3, Draining: draining,
 	})
