sidecar: Acknowledge a departure once the store holds it

Cause: the departure was in the memory of the process that acknowledged it. Evidence: the new process logs backend-reported with the old start time.

Change: the instance's entry in the store names the processes of its backend server that have left. A departure is in force at once and acknowledged once it is stored; a starting instance reads departures with the call that registers it and holds reports until then. With the store away, a second report confirms the first one.

--- a/result/code.go
+++ b/result/code.go
@@ -91,6 +91,9 @@
 	BackendShed        Code = 5015
 	BackendLimited     Code = 5016
 	ReportOutdated     Code = 5017
+	ReportUnconfirmed  Code = 5018
+
+	DepartureUnrecorded Code = 5019
 
 	LinkUnreachable Code = 6001
 	LinkBroken      Code = 6002
@@ -205,6 +208,8 @@
 	{BackendShed, "backend-shed", http.StatusServiceUnavailable, "The backend server rejected the request without running it."},
 	{BackendLimited, "backend-limited", http.StatusServiceUnavailable, "The backend server has got all requests that the limit which it names allows for now."},
 	{ReportOutdated, "report-outdated", http.StatusConflict, "The report of a backend server was ignored: what it says is out of date, or its process can't be told."},
+	{ReportUnconfirmed, "report-unconfirmed", http.StatusServiceUnavailable, "It is not clear yet whether the report comes from the present process of the backend server; report again."},
+	{DepartureUnrecorded, "departure-unrecorded", http.StatusServiceUnavailable, "The backend server gets no new requests, but the platform's store does not hold its departure yet; report it again."},
 
 	{LinkUnreachable, "link-unreachable", http.StatusBadGateway, "The other instance does not accept connections."},
 	{LinkBroken, "link-broken", http.StatusBadGateway, "The connection to the other instance broke before a response arrived."},
--- a/sidecar/backend_state.go
+++ b/sidecar/backend_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"amaranthstile/result"
@@ -38,8 +39,29 @@
 	Report
 	// Left is set when the backend server has reported that it is leaving; it gets no new requests.
 	Left bool
+	// PastUnknown is set until it is known which processes had left before this instance started. A report is then applied
+	// once a second one confirms that its process is present: the first one may be a late report of a process that has left.
+	PastUnknown bool
+	// ClaimPeriod is the time between two reports by which a process confirms that it is present.
+	ClaimPeriod time.Duration
 	// departed are the processes that reported a drain or a leave, also those that reported nothing else.
-	departed departures
+	departed Departures
+	claim    claim
+}
+
+// claim is a report whose process is not confirmed yet.
+type claim struct {
+	report Report
+	since  time.Time // when the first report of the process arrived
+}
+
+// claimPeriod returns the time between two reports by which a process confirms that it is present, from the interval at
+// which the backend server reports: within it, another process that runs would have reported, too.
+func claimPeriod(heartbeatInterval time.Duration) time.Duration {
+	if heartbeatInterval <= 0 {
+		heartbeatInterval = defaultHeartbeatInterval
+	}
+	return heartbeatInterval * 3 / 2
 }
 
 // Known reports whether a backend server has reported.
@@ -49,8 +71,9 @@
 func (s *BackendState) AcceptsRequests() bool { return s.Known() && !s.Left && !s.Draining }
 
 // Apply applies a report and returns whether it changed the state. The error carries ReportOutdated if the report is
-// ignored, because a newer one arrived before it or its process has left.
-func (s *BackendState) Apply(r Report) (changed bool, err error) {
+// ignored, because a newer one arrived before it or its process has left, and ReportUnconfirmed if another report of the
+// process has to confirm it.
+func (s *BackendState) Apply(now time.Time, r Report) (changed bool, err error) {
 	p := r.process()
 	switch {
 	case s.Known() && p == s.process():
@@ -62,11 +85,43 @@
 		return false, result.New(result.ReportOutdated, "the backend server %s has left", r.ID)
 	case s.Known() && r.StartTime.Before(s.StartTime):
 		return false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", r.ID)
+	case s.PastUnknown && !r.Draining && !s.confirm(now, r):
+		return false, result.New(result.ReportUnconfirmed, "the backend server %s may have left before this instance started", r.ID)
 	}
 	s.replace(r)
 	return true, nil
 }
 
+// confirm records the claim of a process to be the present one, and reports whether it is confirmed.
+func (s *BackendState) confirm(now time.Time, r Report) bool {
+	if s.claim.report.process() != r.process() {
+		s.claim.since = now
+	}
+	s.claim.report = r
+	return now.Sub(s.claim.since) >= s.ClaimPeriod
+}
+
+// LearnDepartures takes over which processes had left before this instance started, and reports whether that changed the
+// state.
+func (s *BackendState) LearnDepartures(earlier Departures) (changed bool) {
+	own := s.departed
+	s.departed = nil
+	for _, p := range append(slices.Clone(earlier), own...) {
+		s.departed.add(p)
+	}
+	waiting := s.claim.report
+	if s.PastUnknown && waiting.ID != "" && !s.departed.contains(waiting.process()) {
+		s.replace(waiting)
+		changed = true
+	}
+	s.PastUnknown = false
+	if s.Known() && !s.Left && s.departed.contains(s.process()) {
+		s.Left = true
+		changed = true
+	}
+	return changed
+}
+
 // update applies a report of the known process.
 func (s *BackendState) update(r Report) (changed bool, err error) {
 	startsDrain := r.Draining && !s.Draining // applies also if it arrives late: a drain does not end
@@ -87,28 +142,29 @@
 // replace makes the process of a report the known one.
 func (s *BackendState) replace(r Report) {
 	s.Report = r
+	s.claim = claim{}
 	s.Left = s.departed.contains(r.process())
 	if r.Draining {
 		s.departed.add(r.process())
 	}
 }
 
-// Leave records that a process of the backend server is leaving, also if it has not reported before, and reports whether
-// that changed the state. A zero start time means the known process. The error carries ReportOutdated if the process
-// can't be told.
-func (s *BackendState) Leave(id string, startTime time.Time) (changed bool, err error) {
-	p := newBackendProcess(id, startTime)
+// Leave records that a process of the backend server is leaving, also if it has not reported before. It returns which
+// process that is and whether the state changed. A zero start time means the known process. The error carries
+// ReportOutdated if the process can't be told.
+func (s *BackendState) Leave(id string, startTime time.Time) (p BackendProcess, changed bool, err error) {
+	p = newBackendProcess(id, startTime)
 	switch {
 	case s.ID == id && (startTime.IsZero() || p == s.process()):
-		return s.markLeft(), nil
+		return s.process(), s.markLeft(), nil
 	case startTime.IsZero():
-		return false, result.New(result.ReportOutdated, "a process of the backend server %s leaves that is not known", id)
+		return p, false, result.New(result.ReportOutdated, "a process of the backend server %s leaves that is not known", id)
 	case s.ID == id && startTime.Before(s.StartTime):
-		return false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", id)
+		return p, false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", id)
 	case s.ID == id:
 		s.markLeft() // its successor leaves before it has reported
 	}
-	return s.departed.add(p), nil
+	return p, s.departed.add(p), nil
 }
 
 // markLeft records that the known process is leaving, and reports whether that changed the state.
--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -24,14 +24,14 @@
 // reports arrive seconds late.
 const maxDepartures = 8
 
-// departures are processes of the backend server that have reported a drain or a leave, the latest last.
-type departures []BackendProcess
+// Departures are processes of the backend server that have reported a drain or a leave, the latest last.
+type Departures []BackendProcess
 
 // contains reports whether a process has departed.
-func (d departures) contains(p BackendProcess) bool { return slices.Contains(d, p) }
+func (d Departures) contains(p BackendProcess) bool { return slices.Contains(d, p) }
 
 // add adds a process, and drops the earliest one if there are too many. It reports whether the process is new.
-func (d *departures) add(p BackendProcess) bool {
+func (d *Departures) add(p BackendProcess) bool {
 	if d.contains(p) {
 		return false
 	}
@@ -41,3 +41,16 @@
 	}
 	return true
 }
+
+// WithEarlierDepartures returns the contact with departures that came before its own.
+func (c Contact) WithEarlierDepartures(earlier Departures) Contact {
+	var all Departures
+	for _, p := range earlier {
+		all.add(p)
+	}
+	for _, p := range c.Departed {
+		all.add(p)
+	}
+	c.Departed = all
+	return c
+}
--- a/sidecar/discovery.go
+++ b/sidecar/discovery.go
@@ -11,7 +11,6 @@
 	"amaranthstile/gossip"
 	"amaranthstile/internal/wait"
 	"amaranthstile/membership"
-	"amaranthstile/result"
 )
 
 const (
@@ -50,11 +49,9 @@
 	event   *event.Logger
 	// onFirstContacts is called with the addresses that the first reading lists.
 	onFirstContacts func([]netip.AddrPort)
-	// generations tells when the store came back from an older copy, which may lack the contact of this instance.
-	generations *generations
-
-	registered   bool   // this instance wrote its contact
-	registeredIn uint64 // the generation of the store in which it did so last
+	// registration is the contact of this instance. The store may lack it after it came back from an older copy.
+	registration *registration
+	generations  *generations
 }
 
 // run registers this instance in the store, again in each generation of the store, and joins the listed instances, until
@@ -79,8 +76,8 @@
 
 // sleep waits for a time, or until this instance has to register again.
 func (d *discovery) sleep(ctx context.Context, duration time.Duration) {
-	newest, changed := d.generations.current()
-	if newest > d.registeredIn {
+	_, changed := d.generations.current()
+	if !d.registration.isCurrent() {
 		return
 	}
 	timer := time.NewTimer(duration)
@@ -108,23 +105,15 @@
 // registration.
 func (d *discovery) registerAndRead(ctx context.Context, cursor *contactCursor) ([]Contact, error) {
 	var registerErr error
-	if newest, _ := d.generations.current(); !d.registered || newest > d.registeredIn {
-		registerErr = d.register(ctx)
-		d.logFailure("register", registerErr)
+	if !d.registration.isCurrent() {
+		registerErr = d.registration.write(ctx)
 	}
 	found, err := d.readContacts(ctx, cursor)
-	d.logFailure("contacts", err)
-	if err == nil {
-		err = registerErr
-	}
-	return found, err
-}
-
-// logFailure logs that a call to the store failed.
-func (d *discovery) logFailure(call string, err error) {
 	if err != nil {
-		d.event.Log(event.PlatformAway, event.F("call", call), event.F("error", err.Error()))
+		d.event.Log(event.PlatformAway, event.F("call", "contacts"), event.F("error", err.Error()))
+		return nil, err
 	}
+	return found, registerErr
 }
 
 // syncWithUnknown synchronizes with listed instances that the membership does not know. When a fleet starts in two
@@ -171,17 +160,3 @@
 	cursor.advance(page)
 	return page.Contacts, nil
 }
-
-// register writes this instance's contact to the store.
-func (d *discovery) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	newest, _ := d.generations.current()
-	generation, err := d.store.Register(ctx, Contact{Name: d.self.Name, Domain: d.self.Domain, Control: d.self.Control})
-	if err != nil && !result.Is(err, result.PlatformConflict) {
-		return err // a conflict means that another process with this instance's name registered at the same time
-	}
-	d.registered, d.registeredIn = true, max(generation, newest)
-	d.generations.observe(generation)
-	return nil
-}
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,8 @@
 	event            *event.Logger
 	retryBudget      func() admission.RetryBound
 	publishEndpoints func([]membership.Endpoint)
+	// recordDeparture returns once the record that a process has left will outlive this process.
+	recordDeparture func(context.Context, BackendProcess) error
 
 	mu        sync.Mutex
 	state     BackendState // guarded by mu
@@ -41,8 +44,11 @@
 
 func newLocalBackend(
 	e *event.Logger, retryBudget func() admission.RetryBound, publishEndpoints func([]membership.Endpoint),
+	heartbeatInterval time.Duration,
 ) *localBackend {
 	b := &localBackend{event: e, retryBudget: retryBudget, publishEndpoints: publishEndpoints}
+	b.state.PastUnknown = true
+	b.state.ClaimPeriod = claimPeriod(heartbeatInterval)
 	b.set.Store(&backend.UpstreamSet{})
 	return b
 }
@@ -68,10 +74,18 @@
 }
 
 // Report implements Reporter. After it returns, no new request is sent to a backend server that reported a drain.
-func (b *localBackend) Report(r Report) error {
+func (b *localBackend) Report(ctx context.Context, r Report) error {
+	if err := b.apply(r); err != nil || !r.Draining {
+		return err
+	}
+	return b.recordDeparture(ctx, r.process())
+}
+
+// apply applies a report.
+func (b *localBackend) apply(r Report) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed, err := b.state.Apply(r)
+	changed, err := b.state.Apply(time.Now(), r)
 	if changed || err != nil {
 		b.logReport(r, err)
 	}
@@ -81,6 +95,16 @@
 	return err
 }
 
+// learnDepartures takes over which processes of the backend server have left, as the store holds them.
+func (b *localBackend) learnDepartures(d Departures) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state.LearnDepartures(d) {
+		b.logReport(b.state.Report, nil)
+		b.publish()
+	}
+}
+
 // logReport logs a report that changed the state, or was ignored because of an error.
 func (b *localBackend) logReport(r Report, err error) {
 	fields := []event.Field{
@@ -96,21 +120,30 @@
 }
 
 // Leave implements Reporter.
-func (b *localBackend) Leave(id string, startTime time.Time) error {
+func (b *localBackend) Leave(ctx context.Context, id string, startTime time.Time) error {
+	p, err := b.applyLeave(id, startTime)
+	if err != nil {
+		return err
+	}
+	return b.recordDeparture(ctx, p)
+}
+
+// applyLeave applies a leave call and returns which process leaves.
+func (b *localBackend) applyLeave(id string, startTime time.Time) (BackendProcess, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed, err := b.state.Leave(id, startTime)
+	p, changed, err := b.state.Leave(id, startTime)
 	switch {
 	case err != nil:
 		b.event.Log(event.BackendReportIgnored,
 			event.F("backend", id), event.F("born", startTime.UnixMilli()), event.F("code", int(result.CodeOf(err))))
 	case changed:
-		b.event.Log(event.BackendLeft, event.F("backend", id), event.F("born", startTime.UnixMilli()))
+		b.event.Log(event.BackendLeft, event.F("backend", id), event.F("born", p.StartMillis))
 		if b.state.Known() {
 			b.publish()
 		}
 	}
-	return err
+	return p, err
 }
 
 // addressTaken records that another backend server responds at the address of this one.
--- a/sidecar/local_backend_test.go
+++ b/sidecar/local_backend_test.go
@@ -64,10 +64,10 @@
 			for _, m := range row.messages {
 				startTime := m.start()
 				if m.leaves {
-					_, _ = state.Leave(m.id, startTime)
+					_, _, _ = state.Leave(m.id, startTime)
 					continue
 				}
-				_, _ = state.Apply(Report{ID: m.id, StartTime: startTime, Sequence: m.sequence, Draining: m.draining})
+				_, _ = state.Apply(time.Unix(0, 0), Report{ID: m.id, StartTime: startTime, Sequence: m.sequence, Draining: m.draining})
 			}
 			is.Equal(state.ID, row.id)
 			is.Equal(state.AcceptsRequests(), row.accepts)
@@ -101,9 +101,9 @@
 			var err error
 			for _, m := range row.messages {
 				if m.leaves {
-					_, err = state.Leave(m.id, m.start())
+					_, _, err = state.Leave(m.id, m.start())
 				} else {
-					_, err = state.Apply(Report{ID: m.id, StartTime: m.start(), Sequence: m.sequence, Draining: m.draining})
+					_, err = state.Apply(time.Unix(0, 0), Report{ID: m.id, StartTime: m.start(), Sequence: m.sequence, Draining: m.draining})
 				}
 			}
 			is.Equal(result.CodeOf(err), row.code)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// defaultHeartbeatInterval is how often a backend server reports if the settings do not say so.
+const defaultHeartbeatInterval = 1500 * time.Millisecond
+
 // Settings are the settings of one instance.
 type Settings struct {
 	// Name is the instance's name, unique in the fleet; a restarted process keeps it.
@@ -18,6 +21,8 @@
 	// backend server, and Control accepts calls of other instances over TCP and membership messages over UDP on the same
 	// port number.
 	Clients, Link, Ready, Reports, Control netip.AddrPort
+	// HeartbeatInterval is how often the backend server reports; default defaultHeartbeatInterval.
+	HeartbeatInterval time.Duration
 	// Backend is the address at which the backend server accepts requests.
 	Backend netip.AddrPort
 	// Store is the address of the platform's store.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,10 +54,10 @@
 // Reporter receives the reports of the backend server. A call may be acknowledged only if it returns no error: what it
 // says is then in force.
 type Reporter interface {
-	// Report records a report.
-	Report(r Report) error
-	// Leave records that the process of the backend server with this ID and start time is leaving.
-	Leave(id string, startTime time.Time) error
+	// Report records a report. That of a drain waits, until ctx ends, for the record to outlive this process.
+	Report(ctx context.Context, r Report) error
+	// Leave records that the process of the backend server with this ID and start time is leaving, and waits likewise.
+	Leave(ctx context.Context, id string, startTime time.Time) error
 }
 
 // Instance is one process of the fleet.
@@ -73,6 +73,7 @@
 	members       *gossip.Members
 	configuration *configurationManager
 	discovery     *discovery
+	registration  *registration
 	localBackend  *localBackend
 	quotas        *quotas
 	selector      *balancer.CostSelector
@@ -134,11 +135,15 @@
 	i.members.Traffic = &i.traffic
 	g := newGenerations(i.options.Events)
 	i.configuration = newConfigurationManager(i.options, i.bounds, i.members, i.calls, self, g)
+	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints, s.HeartbeatInterval)
+	i.registration = newRegistration(i.options.Store, Contact{Name: s.Name, Domain: s.Domain, Control: s.Control}, g,
+		i.options.Events, i.localBackend.learnDepartures)
+	i.localBackend.recordDeparture = i.registration.recordDeparture
 	i.discovery = &discovery{
-		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events, generations: g,
+		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events,
+		registration: i.registration, generations: g,
 		onFirstContacts: func(a []netip.AddrPort) { i.configuration.contacts <- slices.Clone(a) },
 	}
-	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints)
 	i.quotas = newQuotas(i)
 	i.configuration.onJoined = i.quotas.startTakeover
 	i.selector = i.newSelector()
@@ -232,6 +237,7 @@
 	i.running.Go(func() { _ = i.control.Serve(i.listeners.control) })
 	i.running.Go(func() { i.members.Run(ctx) })
 	i.running.Go(func() { i.discovery.run(ctx) })
+	i.running.Go(func() { i.registration.run(ctx) })
 	i.running.Go(func() { i.configuration.run(ctx) })
 	i.running.Go(func() { i.configuration.followPeers(ctx) })
 	i.running.Go(func() { i.configuration.pollStore(ctx) })
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -15,8 +16,9 @@
 
 // newReportedBackend returns a local backend whose backend server has reported, with its present upstream.
 func newReportedBackend(startTime time.Time) (*localBackend, *backend.Upstream) {
-	b := newLocalBackend(event.Discard(), func() admission.RetryBound { return admission.RetryBound{} }, func([]membership.Endpoint) {})
-	_ = b.Report(Report{
+	b := newLocalBackend(event.Discard(), func() admission.RetryBound { return admission.RetryBound{} }, func([]membership.Endpoint) {}, 0)
+	b.learnDepartures(nil)
+	_ = b.Report(context.Background(), Report{
 		ID: "b", StartTime: startTime, Sequence: 1, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), Slots: 1,
 	})
 	return b, b.upstreams()["b"]
@@ -27,7 +29,7 @@
 	is := is.New(t)
 	start := time.Now().Add(-time.Minute)
 	b, before := newReportedBackend(start)
-	_ = b.Report(Report{
+	_ = b.Report(context.Background(), Report{
 		ID: "b", StartTime: start.Add(time.Second), Sequence: 1, Service: "s", Address: before.Address, Slots: 1,
 	})
 	b.handleStatement(before, backend.Statement{Leaving: true, Limited: true})
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -21,9 +21,10 @@
 	// Contacts reads a page of the registered instances, in the order of their names, starting behind a name. Unless fresh
 	// is set, it may miss changes of the last seconds.
 	Contacts(ctx context.Context, after string, fresh bool) (ContactPage, error)
-	// Register writes the contact of this instance and replaces an earlier one with the same name. It returns the
-	// generation of the store that holds it.
-	Register(ctx context.Context, c Contact) (generation uint64, err error)
+	// Register writes the contact of this instance and replaces an earlier one with the same name. The departures that the
+	// store holds under that name are kept. With a revision, at which the store was last known to hold the contact, one
+	// call suffices unless it has changed since.
+	Register(ctx context.Context, c Contact, revision uint64) (Registration, error)
 }
 
 // Position is a point in the history of the store.
@@ -53,6 +54,15 @@
 	Name    string
 	Domain  string
 	Control netip.AddrPort
+	// Departed are the latest processes of the backend server beside the instance that have left, the last one last.
+	Departed Departures
+}
+
+// Registration is the contact of an instance as the store holds it.
+type Registration struct {
+	Contact
+	// Position is where the store's history holds it.
+	Position Position
 }
 
 // ContactPage is a part of the list of registered instances.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -167,11 +167,11 @@
 }
 
 // Register implements sidecar.Store.
-func (m *memoryStore) Register(_ context.Context, c sidecar.Contact) (uint64, error) {
+func (m *memoryStore) Register(_ context.Context, c sidecar.Contact, _ uint64) (sidecar.Registration, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contacts[c.Name] = c
-	return m.stored.Position.Generation, nil
+	m.contacts[c.Name] = c.WithEarlierDepartures(m.contacts[c.Name].Departed)
+	return sidecar.Registration{Contact: m.contacts[c.Name], Position: m.stored.Position}, nil
 }
 
 func decode(data []byte) (*sidecar.Configuration, error) {
@@ -317,7 +317,7 @@
 
 // report sends the instance a report of its backend server.
 func (n *node) report(sequence uint64, draining bool) {
-	_ = n.reporter.Report(sidecar.Report{
+	_ = n.reporter.Report(context.Background(), sidecar.Report{
 		ID: n.backend.id, StartTime: time.UnixMilli(1000), Sequence: sequence, Service: n.settings.Service,
 		Address: n.backend.address(), Slots: 3, Draining: draining,
 	})
