sidecar: Hear a backend server whose start time is an earlier one

Cause: the order of two processes was read from their start times; the reports of the one that seemed earlier were acknowledged and ignored.

Change: a process that seems earlier, or has the ID of one that has left, is taken for the present one once it has reported for one and a half intervals in which the known one has not. Until then it is not acknowledged.

--- a/sidecar/backend_state.go
+++ b/sidecar/backend_state.go
@@ -46,6 +46,8 @@
 	ClaimPeriod time.Duration
 	// departed are the processes that reported a drain or a leave, also those that reported nothing else.
 	departed Departures
+	// replaced are the processes that were known before the known one.
+	replaced Departures
 	claim    claim
 }
 
@@ -83,16 +85,28 @@
 			return false, nil // a repeated report of a drain that is in force
 		}
 		return false, result.New(result.ReportOutdated, "the backend server %s has left", r.ID)
-	case s.Known() && r.StartTime.Before(s.StartTime):
-		return false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", r.ID)
-	case s.PastUnknown && !r.Draining && !s.confirm(now, r):
-		return false, result.New(result.ReportUnconfirmed, "the backend server %s may have left before this instance started", r.ID)
+	case s.isDoubtful(r) && !s.confirm(now, r):
+		return false, result.New(result.ReportUnconfirmed, "it is not clear yet that the process of the backend server %s runs", r.ID)
 	}
 	s.replace(r)
 	return true, nil
 }
 
-// confirm records the claim of a process to be the present one, and reports whether it is confirmed.
+// isDoubtful reports whether a report of another process than the known one may be a late one, of a process that ended
+// before. That is so also if the ID is that of a process which has left: a request for the new process would reach the one
+// that is leaving, as they share the ID and may share the address.
+func (s *BackendState) isDoubtful(r Report) bool {
+	return s.PastUnknown && !r.Draining || s.seemsEarlier(r.process()) || s.departed.containsID(r.ID)
+}
+
+// seemsEarlier reports whether a process seems to have run before the known one. Its start time does not show that it
+// did: the time of day may have been set back between the two starts.
+func (s *BackendState) seemsEarlier(p BackendProcess) bool {
+	return s.Known() && (p.StartMillis < s.process().StartMillis || s.replaced.contains(p))
+}
+
+// confirm records the claim of a process to be the present one, and reports whether it is confirmed. A newer report of the
+// known process withdraws the claim.
 func (s *BackendState) confirm(now time.Time, r Report) bool {
 	if s.claim.report.process() != r.process() {
 		s.claim.since = now
@@ -110,11 +124,11 @@
 		s.departed.add(p)
 	}
 	waiting := s.claim.report
-	if s.PastUnknown && waiting.ID != "" && !s.departed.contains(waiting.process()) {
+	s.PastUnknown = false
+	if waiting.ID != "" && !s.isDoubtful(waiting) && !s.departed.contains(waiting.process()) {
 		s.replace(waiting)
 		changed = true
 	}
-	s.PastUnknown = false
 	if s.Known() && !s.Left && s.departed.contains(s.process()) {
 		s.Left = true
 		changed = true
@@ -128,6 +142,9 @@
 	if r.Sequence < s.Sequence && !startsDrain {
 		return false, result.New(result.ReportOutdated, "a newer report of the backend server %s has arrived", r.ID)
 	}
+	if r.Sequence > s.Sequence {
+		s.claim = claim{}
+	}
 	before := *s
 	r.Sequence = max(r.Sequence, s.Sequence)
 	r.Draining = s.Draining || r.Draining
@@ -141,6 +158,9 @@
 
 // replace makes the process of a report the known one.
 func (s *BackendState) replace(r Report) {
+	if s.Known() {
+		s.replaced.add(s.process())
+	}
 	s.Report = r
 	s.claim = claim{}
 	s.Left = s.departed.contains(r.process())
@@ -151,20 +171,25 @@
 
 // Leave records that a process of the backend server is leaving, also if it has not reported before. It returns which
 // process that is and whether the state changed. A zero start time means the known process. The error carries
-// ReportOutdated if the process can't be told.
-func (s *BackendState) Leave(id string, startTime time.Time) (p BackendProcess, changed bool, err error) {
+// ReportOutdated if the process can't be told, and ReportUnconfirmed as for Apply.
+func (s *BackendState) Leave(now time.Time, id string, startTime time.Time) (p BackendProcess, changed bool, err error) {
 	p = newBackendProcess(id, startTime)
 	switch {
 	case s.ID == id && (startTime.IsZero() || p == s.process()):
 		return s.process(), s.markLeft(), nil
 	case startTime.IsZero():
 		return p, false, result.New(result.ReportOutdated, "a process of the backend server %s leaves that is not known", id)
-	case s.ID == id && startTime.Before(s.StartTime):
-		return p, false, result.New(result.ReportOutdated, "a later process of the backend server than %s has reported", id)
-	case s.ID == id:
-		s.markLeft() // its successor leaves before it has reported
+	case s.ID != id || s.departed.contains(p):
+		return p, s.departed.add(p), nil // no request for the known process reaches it
 	}
-	return p, s.departed.add(p), nil
+	// Requests for the known process may reach this one, which has the same ID. Which of them runs?
+	r := s.Report
+	r.StartTime, r.Sequence = startTime, 0
+	if s.seemsEarlier(p) && !s.confirm(now, r) {
+		return p, false, result.New(result.ReportUnconfirmed, "it is not clear yet that the process of the backend server %s runs", id)
+	}
+	s.replace(r)
+	return p, s.markLeft(), nil
 }
 
 // markLeft records that the known process is leaving, and reports whether that changed the state.
--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -30,6 +30,11 @@
 // contains reports whether a process has departed.
 func (d Departures) contains(p BackendProcess) bool { return slices.Contains(d, p) }
 
+// containsID reports whether a process with an ID has departed.
+func (d Departures) containsID(id string) bool {
+	return slices.ContainsFunc(d, func(p BackendProcess) bool { return p.ID == id })
+}
+
 // add adds a process, and drops the earliest one if there are too many. It reports whether the process is new.
 func (d *Departures) add(p BackendProcess) bool {
 	if d.contains(p) {
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -132,7 +132,7 @@
 func (b *localBackend) applyLeave(id string, startTime time.Time) (BackendProcess, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p, changed, err := b.state.Leave(id, startTime)
+	p, changed, err := b.state.Leave(time.Now(), id, startTime)
 	switch {
 	case err != nil:
 		b.event.Log(event.BackendReportIgnored,
