sidecar: Refuse a report that names a service which does not exist

Cause: the service of a report was compared with neither settings nor configuration. Change: a report of another process than the known one is refused if the configuration names services and not this one.

TestReportOfAnUnknownServiceIsRefused fails without the check (the report is acknowledged).

--- a/sidecar/backend_state.go
+++ b/sidecar/backend_state.go
@@ -69,6 +69,9 @@
 // Known reports whether a backend server has reported.
 func (s *BackendState) Known() bool { return s.ID != "" }
 
+// isKnown reports whether a process is the known one.
+func (s *BackendState) isKnown(p BackendProcess) bool { return s.Known() && p == s.process() }
+
 // AcceptsRequests reports whether the backend server may get new requests.
 func (s *BackendState) AcceptsRequests() bool { return s.Known() && !s.Left && !s.Draining }
 
@@ -78,7 +81,7 @@
 func (s *BackendState) Apply(now time.Time, r Report) (changed bool, err error) {
 	p := r.process()
 	switch {
-	case s.Known() && p == s.process():
+	case s.isKnown(p):
 		return s.update(r)
 	case s.departed.contains(p):
 		if r.Draining {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -152,6 +152,17 @@
 	return 0
 }
 
+// namesService reports whether the configuration in force names a service. Without a configuration, or with one that names
+// none, every service counts as named.
+func (c *configurationManager) namesService(name string) bool {
+	active := c.current.Load()
+	if active == nil || len(active.Services) == 0 {
+		return true
+	}
+	_, ok := active.Services[name]
+	return ok
+}
+
 // apply puts a configuration in force unless the same version or a newer one is, and returns its version. The source is
 // "store" or the address of the instance that sent it.
 func (c *configurationManager) apply(specification []byte, source string) (version uint64, err error) {
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -20,6 +20,8 @@
 	event            *event.Logger
 	retryBudget      func() admission.RetryBound
 	publishEndpoints func([]membership.Endpoint)
+	// namesService reports whether there is a service of this name, as far as this instance knows.
+	namesService func(string) bool
 	// recordDeparture returns once the record that a process has left will outlive this process.
 	recordDeparture func(context.Context, BackendProcess) error
 
@@ -47,6 +49,7 @@
 	heartbeatInterval time.Duration,
 ) *localBackend {
 	b := &localBackend{event: e, retryBudget: retryBudget, publishEndpoints: publishEndpoints}
+	b.namesService = func(string) bool { return true }
 	b.state.PastUnknown = true
 	b.state.ClaimPeriod = claimPeriod(heartbeatInterval)
 	b.set.Store(&backend.UpstreamSet{})
@@ -85,6 +88,11 @@
 func (b *localBackend) apply(r Report) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.state.isKnown(r.process()) && !b.namesService(r.Service) {
+		err := result.New(result.AnnounceInvalid, "the configuration names no service %s", r.Service)
+		b.logReport(r, err)
+		return err
+	}
 	changed, err := b.state.Apply(time.Now(), r)
 	if changed || err != nil {
 		b.logReport(r, err)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -138,6 +138,9 @@
 	i.localBackend = newLocalBackend(i.options.Events, i.retryBudget, i.members.SetEndpoints, s.HeartbeatInterval)
 	i.registration = newRegistration(i.options.Store, Contact{Name: s.Name, Domain: s.Domain, Control: s.Control}, g,
 		i.options.Events, i.localBackend.learnDepartures)
+	i.localBackend.namesService = func(name string) bool {
+		return name == *i.service.Load() || i.configuration.namesService(name)
+	}
 	i.localBackend.recordDeparture = i.registration.recordDeparture
 	i.discovery = &discovery{
 		store: i.options.Store, members: i.members, self: self, peers: s.Peers, event: i.options.Events,
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -12,6 +12,7 @@
 	"amaranthstile/backend/admission"
 	"amaranthstile/event"
 	"amaranthstile/membership"
+	"amaranthstile/result"
 )
 
 // newReportedBackend returns a local backend whose backend server has reported, with its present upstream.
@@ -64,3 +65,17 @@
 		})
 	}
 }
+
+// TestReportOfAnUnknownServiceIsRefused guards against a report of another writer that takes the backend server out of
+// use: it names a later process and a service that does not exist.
+func TestReportOfAnUnknownServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	start := time.Now().Add(-time.Minute)
+	b, u := newReportedBackend(start)
+	b.namesService = func(name string) bool { return name == "s" }
+	odd := Report{ID: "odd", StartTime: start.Add(time.Second), Sequence: 1, Service: "unnamed", Address: u.Address, Slots: 1}
+	is.Equal(result.CodeOf(b.Report(context.Background(), odd)), result.AnnounceInvalid)
+	is.True(b.upstreams()["b"].TakesWork())
+	again := Report{ID: "b", StartTime: start, Sequence: 2, Service: "s", Address: u.Address, Slots: 1}
+	is.NoErr(b.Report(context.Background(), again))
+}
