quota: Admit requests only on tokens that are confirmed

Cause: instances admitted up to two requests each on a level heard up to 3 s ago, a new coordinator started with half of the burst, and the instances that lost the old one with the other half. None of it was confirmed, and the first grows with the fleet.

Change: the coordinator takes what an instance may spend first out of the bucket (reservations, settled by each report). A new coordinator starts without tokens, unless the previous one hands its accounts over, which it does when it stops or another one joins, or no other one has counted. Shares of instances without a coordinator are parts of what the limit allows beyond the bucket.

TestFreshCoordinatorGrantsItselfItsShare now keeps the earlier coordinators from handing the account over, with the same bound: told the count, a new one rightly grants more.

--- a/event/event.go
+++ b/event/event.go
@@ -48,7 +48,10 @@
 	RequestRetried  ID = 4002
 	RequestAnswered ID = 4003
 	HomeSilent      ID = 4205
-	TryEnded        ID = 4004
+
+	AccountsTransferred ID = 4206
+
+	TryEnded ID = 4004
 
 	StandingGained ID = 4201
 	StandingLost   ID = 4202
@@ -140,6 +143,7 @@
 	{StandingLost, "standing-lost", log.WarnLevel, "The instance can't reach a majority of the witnesses, directly or through others; it rejects requests with a key."},
 	{RosterProposed, "roster-proposed", log.InfoLevel, "This instance stored a new roster of homes and witnesses."},
 	{HomeSilent, "home-silent", log.WarnLevel, "The instance that coordinates the rate limits of some client accounts does not respond; meanwhile this instance applies its own share of the limits."},
+	{AccountsTransferred, "accounts-transferred", log.InfoLevel, "This instance handed the rate limits of client accounts over to the next instance that coordinates them; with a code other than 0, that one starts without their counts."},
 
 	{BackendAnnounced, "backend-announced", log.InfoLevel, "A backend server registered itself."},
 	{BackendDraining, "backend-draining", log.InfoLevel, "A backend server asked to receive no new requests."},
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -53,6 +53,8 @@
 	// OnNewerRevision, if set, is called when another instance has a later ticket revision. It runs in the owner and must not
 	// block.
 	OnNewerRevision func(membership.NewerRevision)
+	// OnDirectoryChange, if set, is called after Directory has changed. It runs in the owner and must not block.
+	OnDirectoryChange func()
 }
 
 // New returns the members as seen by an instance that knows no other one yet. Run drives them.
@@ -213,6 +215,9 @@
 	}
 	if changed {
 		m.directory.Store(m.state.Directory())
+		if m.OnDirectoryChange != nil {
+			m.OnDirectoryChange()
+		}
 	}
 }
 
--- a/quota/account_bucket_test.go
+++ b/quota/account_bucket_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	bucket   AccountBucket
 	limiters []LocalLimiter
 	admitted []time.Time
+	sequence uint64 // of the latest report
 	// pendingReplies are the replies of the coordinator that are in flight.
 	pendingReplies []pendingReply
 }
@@ -23,27 +25,32 @@
 type pendingReply struct {
 	deliverAt time.Time
 	limiter   int
-	spent     int
 	state     BucketState
-	asking    bool
 }
 
 // request plays one request at instance n; latency is the round-trip time to the coordinator.
 func (s *limiterSimulation) request(now time.Time, n int, latency time.Duration) {
 	s.deliver(now)
-	switch v, _ := s.limiters[n].Admit(now, true, FallbackShare{}, 0); v {
+	switch v, _ := s.limiters[n].Admit(now, true, FallbackShare{}); v {
 	case SpendNow:
 		s.admitted = append(s.admitted, now)
-		s.pendingReplies = append(s.pendingReplies, pendingReply{now.Add(latency), n, 1, s.bucket.Spend(now.Add(latency/2), 1, 0), false})
+		s.report(now, n, latency, Usage{Spent: 1})
 	case AskCoordinator:
-		state := s.bucket.Spend(now.Add(latency/2), 0, 1)
-		if state.Granted > 0 {
+		if s.report(now, n, latency, Usage{Requested: 1}).Granted > 0 {
 			s.admitted = append(s.admitted, now.Add(latency))
 		}
-		s.pendingReplies = append(s.pendingReplies, pendingReply{now.Add(latency), n, 0, state, true})
 	}
 }
 
+// report reports usage to the coordinator and returns its reply, which reaches the instance later.
+func (s *limiterSimulation) report(now time.Time, n int, latency time.Duration, u Usage) BucketState {
+	s.sequence++
+	u.Instance, u.Sequence, u.Held = fmt.Sprint(n), s.sequence, s.limiters[n].Held(now)
+	state := s.bucket.Spend(now.Add(latency/2), u)
+	s.pendingReplies = append(s.pendingReplies, pendingReply{now.Add(latency), n, state})
+	return state
+}
+
 // deliver delivers the replies that are due.
 func (s *limiterSimulation) deliver(now time.Time) {
 	remaining := s.pendingReplies[:0]
@@ -52,7 +59,7 @@
 			remaining = append(remaining, a)
 			continue
 		}
-		s.limiters[a.limiter].HandleReply(now, "home", a.spent, a.state)
+		s.limiters[a.limiter].HandleReply(now, "home", a.state)
 	}
 	s.pendingReplies = remaining
 }
@@ -99,6 +106,73 @@
 	})
 }
 
+// TestHotAccountStaysWithinTheWindowAtAnyFleetSize guards against instances that act on an old level of the bucket: an account
+// sends a little below its rate from all instances in turn, and then many times as much. How much it gets must not grow
+// with the fleet.
+func TestHotAccountStaysWithinTheWindowAtAnyFleetSize(t *testing.T) {
+	const rate, burst = 10.0, 10.0
+	w := WindowLimit{Length: 5 * time.Second, Overage: 0.1, Slack: 20}
+	for _, instances := range []int{4, 38, 352, 2800} {
+		now := time.Unix(1000, 0)
+		s := &limiterSimulation{limiters: make([]LocalLimiter, instances)}
+		allowedRate, allowedBurst := w.Allowed(rate, burst)
+		s.bucket.SetLimits(now, allowedRate, allowedBurst)
+		next := 0
+		sendAt := func(perSecond float64, length time.Duration) {
+			for end := now.Add(length); now.Before(end); next++ {
+				s.request(now, next%instances, 4*time.Millisecond)
+				now = now.Add(time.Duration(float64(time.Second) / perSecond))
+			}
+		}
+		sendAt(6, 10*time.Second)
+		sendAt(14, 4100*time.Millisecond)
+		sendAt(45, 850*time.Millisecond)
+		sendAt(200, 5*time.Second)
+		bound := (rate*w.Length.Seconds()+burst)*(1+w.Overage) + w.Slack
+		if got := s.maxAdmitted(w.Length); float64(got) > bound {
+			t.Errorf("%d instances: %d requests admitted in a window, at most %.1f are allowed", instances, got, bound)
+		}
+	}
+}
+
+// TestLostReplyKeepsNoTokens loses replies that reserve tokens: the next report gives them back.
+func TestLostReplyKeepsNoTokens(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var b AccountBucket
+	b.SetLimits(now, 0, 100)
+	before := b.level
+	for sequence := range uint64(10) {
+		b.Spend(now, Usage{Instance: "a", Sequence: sequence + 1})
+		is.Equal(b.level, before-maxReserved)
+	}
+	b.Spend(now, Usage{Instance: "a", Sequence: 3, Held: 0}) // overtaken by the others
+	is.Equal(b.level, before-maxReserved)
+	b.Spend(now.Add(reservationExpiry), Usage{Instance: "b", Sequence: 1}) // the first instance does not call any more
+	is.Equal(b.level, before-maxReserved)
+}
+
+// TestReservationExpires checks that an instance does not use a reservation that the coordinator may have taken back, also
+// after its machine was suspended or its time of day was set.
+func TestReservationExpires(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var l LocalLimiter
+	for _, row := range []struct {
+		at   time.Time
+		held int
+	}{
+		{now.Add(reservationTTL - 1), 1},
+		{now.Add(reservationTTL), 0},
+		{now.Round(0).Add(time.Hour), 0},
+		{now.Round(0).Add(-time.Hour), 0},
+	} {
+		l.HandleReply(now, "home", BucketState{Reserved: 1 - l.Held(now)})
+		is.Equal(l.Held(row.at), row.held)
+	}
+	is.Equal(l.Held(now), 0)
+}
+
 // TestBucketRefusesNothingBelowRate plays an account that stays at four fifths of its rate at 38 instances: no request
 // may be refused.
 func TestBucketRefusesNothingBelowRate(t *testing.T) {
@@ -129,7 +203,7 @@
 	runs := 0
 	for range 5 * 100 * instances {
 		now = now.Add(10 * time.Millisecond / instances)
-		if v, after := limiters[runs%instances].Admit(now, false, share, 0.5); v == SpendFallback {
+		if v, after := limiters[runs%instances].Admit(now, false, share); v == SpendFallback {
 			runs++
 		} else {
 			is.True(after > 0)
@@ -144,13 +218,20 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	var limiter LocalLimiter
-	limiter.HandleReply(now, "home", 0, BucketState{Level: 1})
-	for range 2 {
-		v, _ := limiter.Admit(now, false, FallbackShare{Rate: 1, Burst: 4}, 0)
-		is.Equal(v, SpendFallback)
+	limiter.HandleReply(now, "home", BucketState{Level: 1})
+	share := FallbackShare{Rate: 1, Burst: 4, Initial: 1, Window: time.Minute}
+	admit := func(after time.Duration, want SpendDecision) {
+		t.Helper()
+		got, _ := limiter.Admit(now.Add(after), false, share)
+		is.Equal(got, want)
 	}
+	admit(0, SpendFallback) // of the initial share, of which no coordinator has to learn
+	admit(0, Refuse)
+	admit(2*time.Second, SpendFallback)
+	admit(2*time.Second, SpendFallback)
+	admit(2*time.Second, Refuse)
 	is.Equal(limiter.TakeUnreported(), 2)
 	is.Equal(limiter.TakeUnreported(), 0)
-	limiter.RestoreUnreported(2) // the call was lost
+	limiter.HandleFailure(now, 2, FallbackShare{}) // the call was lost
 	is.Equal(limiter.TakeUnreported(), 2)
 }
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -14,9 +14,9 @@
 //
 //   - An AccountBucket is the account's token bucket at its coordinator, the instance that every view of the fleet
 //     names for the account.
-//   - A LocalLimiter decides at another instance. While the bucket is well filled, it admits requests first and reports
-//     them to the coordinator afterwards; while the level is low, it asks the coordinator first; while the coordinator
-//     can't be reached, it uses the instance's own share.
+//   - A LocalLimiter decides at another instance. It admits requests that the coordinator has reserved for it and reports
+//     them afterwards; without a reservation, it asks the coordinator first; while the coordinator can't be reached, it
+//     uses the instance's own share.
 //   - A Takeover tracks the move of accounts to a new coordinator. Until all instances have contacted the new
 //     coordinator, it hands out only the shares of those that have, since the others still use their own shares.
 package quota
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -23,6 +23,7 @@
 	unreachableUntil   []time.Time // by instance
 	viewChanges        []viewChange
 	admitted           []time.Time
+	sequence           uint64 // of the latest report
 	random             *rand.Rand
 }
 
@@ -50,6 +51,10 @@
 func (s *takeoverSimulation) bucketAt(now time.Time, coordinator int) *AccountBucket {
 	if s.buckets[coordinator] == nil {
 		s.buckets[coordinator] = &AccountBucket{}
+		if coordinator > 0 { // it can't know what the first one handed out
+			s.buckets[coordinator] = NewAccountBucket(now)
+			s.takeovers[coordinator].Start(now)
+		}
 	}
 	r, b := s.window.Allowed(s.rate, s.burst)
 	s.buckets[coordinator].SetLimits(now, r*s.takeovers[coordinator].Fraction(now, len(s.limiters)), b)
@@ -102,10 +107,10 @@
 // request plays one request at instance n.
 func (s *takeoverSimulation) request(now time.Time, n int) {
 	s.applyViewChanges(now)
-	share := FallbackShare{Rate: s.rate / float64(len(s.limiters)), Burst: s.burst / float64(len(s.limiters))}
+	share := s.window.FallbackShare(s.rate, s.burst, n, len(s.limiters))
 	limiter, coordinator := &s.limiters[n], s.coordinatorOf[n]
 	name := fmt.Sprint(coordinator)
-	decision, _ := limiter.Admit(now, now.After(s.unreachableUntil[n]), share, s.random.Float64())
+	decision, _ := limiter.Admit(now, now.After(s.unreachableUntil[n]), share)
 	if decision == SpendFallback {
 		s.admitted = append(s.admitted, now)
 	}
@@ -115,30 +120,33 @@
 	if s.pausedCoordinators[coordinator] {
 		s.unreachableUntil[n] = now.Add(retryCoordinatorAfter)
 		if decision == SpendNow {
-			limiter.HandleFailure(1)
+			limiter.HandleFailure(now, 1, share)
 			s.admitted = append(s.admitted, now)
-		} else if v, _ := limiter.Admit(now, false, share, s.random.Float64()); v == SpendFallback {
+		} else if v, _ := limiter.Admit(now, false, share); v == SpendFallback {
 			s.admitted = append(s.admitted, now)
 		}
 		return
 	}
-	k, reports := limiter.LevelFromOtherCoordinator(now, name)
-	s.takeovers[coordinator].RecordCall(now, fmt.Sprint(n), limiter.CoordinatorChanged(now, name))
 	bucket := s.bucketAt(now, coordinator)
-	if reports {
-		bucket.ApplyReport(now, k)
+	if s.takeovers[coordinator].RecordCall(now, fmt.Sprint(n), limiter.CoordinatorChanged(now, name)) {
+		bucket.ForgetPast(now)
+	}
+	bucket = s.bucketAt(now, coordinator) // with the limits of the takeover
+	if since, ok := s.takeovers[coordinator].Since(now); ok {
+		bucket.ReleaseShare(now, fmt.Sprint(n), since, share.Rate)
 	}
-	spent, asked := limiter.TakeUnreported(), 0
+	s.sequence++
+	u := Usage{Instance: fmt.Sprint(n), Sequence: s.sequence, Spent: limiter.TakeUnreported(), Held: limiter.Held(now)}
 	if decision == SpendNow {
-		spent++
+		u.Spent++
 	} else {
-		asked = 1
+		u.Requested = 1
 	}
-	state := bucket.Spend(now, spent, asked)
+	state := bucket.Spend(now, u)
 	if decision == SpendNow || state.Granted > 0 {
 		s.admitted = append(s.admitted, now)
 	}
-	limiter.HandleReply(now, name, spent, state)
+	limiter.HandleReply(now, name, state)
 }
 
 // maxRestartedFraction is n if at most one in n instances restarts around the loss of a coordinator. A restarted
--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -12,13 +12,15 @@
 // coordinatorOf returns the coordinator of an account: instances with the same view of the fleet choose the same one,
 // and few accounts move when an instance joins or leaves.
 func (q *quotas) coordinatorOf(account string) membership.ID {
-	d := q.instance.members.Directory()
-	t := q.table.Load()
-	if t == nil || t.directory != d {
-		t = newCoordinatorTable(d)
-		q.table.Store(t)
+	return q.currentTable().coordinatorOf(account)
+}
+
+// currentTable returns the coordinators in the present view of the fleet.
+func (q *quotas) currentTable() *coordinatorTable {
+	if t := q.table.Load(); t != nil && t.directory == q.instance.members.Directory() {
+		return t
 	}
-	return t.coordinatorOf(account)
+	return q.refreshTable()
 }
 
 // coordinatorTable caches the coordinators for one view of the fleet, because ranking all instances for each request
@@ -26,18 +28,46 @@
 type coordinatorTable struct {
 	directory    *membership.Directory
 	coordinators []membership.ID // by shard
+	// since is when this instance became the coordinator of each shard that it coordinates; zero if no other one has
+	// counted for its accounts.
+	since []time.Time
+	// index is the position of this instance among all that it sees, by ID.
+	index int
 }
 
 func newCoordinatorTable(d *membership.Directory) *coordinatorTable {
-	return &coordinatorTable{
+	t := &coordinatorTable{
 		directory: d, coordinators: d.ShardOwners(max(len(d.Records())/instancesPerCoordinator, 1)),
 	}
+	t.since = make([]time.Time, len(t.coordinators))
+	return t
 }
 
-// coordinatorOf returns the coordinator of an account. With a consistent hash, an additional shard takes over accounts
-// from all others and leaves the rest where it is.
+// shardOf returns the shard of an account. With a consistent hash, an additional shard takes over accounts from all others
+// and leaves the rest where it is.
+func (t *coordinatorTable) shardOf(account string) int {
+	return int(jump.Hash(xxhash.Sum64String(account), len(t.coordinators)))
+}
+
+// coordinatorOf returns the coordinator of an account.
 func (t *coordinatorTable) coordinatorOf(account string) membership.ID {
-	return t.coordinators[jump.Hash(xxhash.Sum64String(account), len(t.coordinators))]
+	return t.coordinators[t.shardOf(account)]
+}
+
+// owned reports whether an instance coordinated a shard in this table, with the same number of shards as in another one.
+func (t *coordinatorTable) owned(id membership.ID, shard, shards int) bool {
+	return t != nil && len(t.coordinators) == shards && t.coordinators[shard] == id
+}
+
+// indexOf returns the position of an instance among all in a directory, by ID.
+func indexOf(id membership.ID, d *membership.Directory) int {
+	index := 0
+	for other := range d.Records() {
+		if other < id {
+			index++
+		}
+	}
+	return index
 }
 
 // currentCoordinator returns the coordinator of the accounts of a request as this instance sees it, or the one that the
--- a/sidecar/fresh_coordinator_test.go
+++ b/sidecar/fresh_coordinator_test.go
@@ -58,15 +58,124 @@
 }
 
 // TestFreshCoordinatorGrantsItselfItsShare starts instances in a running fleet until one is the coordinator of an account
-// in its own view. Before any other instance calls it, its own clients get its share of the rate.
+// in its own view, while no earlier one can reach it to hand the account over. Before any other instance calls it, its own
+// clients get its share of the rate.
 func TestFreshCoordinatorGrantsItselfItsShare(t *testing.T) {
 	const others = 3
-	store, _ := startLimitedFleet(t, others)
+	store, nodes := startLimitedFleet(t, others)
+	reachable := make(map[string]bool)
+	for _, n := range nodes {
+		reachable[n.settings.Control.String()] = true
+	}
+	for _, n := range nodes {
+		n.network.reachable.Store(&reachable)
+	}
 	n := others + 1
 	fresh := startLater(t, store, n)
 	for fresh.CoordinatorOf("a") != fresh.settings.Name {
+		fresh.network.reachable.Store(&reachable)
 		n++
 		fresh = startLater(t, store, n)
 	}
 	checkShareIsServed(t, fresh, others)
 }
+
+const (
+	burstyRate  = 5
+	burstyBurst = 200
+)
+
+// startBurstyFleet starts a fleet with an account that has a burst of many times its rate.
+func startBurstyFleet(t *testing.T, instances int) (*memoryStore, []*node) {
+	t.Helper()
+	store := newMemoryStore()
+	c := testConfiguration(1)
+	c.Routes["safe"].Open = false
+	c.Accounts = map[string]*ticket.Account{"a": {Rate: burstyRate, Burst: burstyBurst, Keys: []ticket.Hash{ticket.HashKey("k")}}}
+	store.put(t, c)
+	return store, startAll(t, store, instances)
+}
+
+// sendUntilRefused sends requests of the account to each instance until one is refused, and returns how many were served.
+func sendUntilRefused(t *testing.T, nodes []*node) (served int) {
+	t.Helper()
+	for _, n := range nodes {
+		for n.do(t, http.MethodGet, "/safe/x", "k") == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// allowedIn returns how many requests the bursty account may have run in a time, which is at most the window.
+func allowedIn(n *node, d time.Duration) float64 {
+	b := n.settings.Bounds
+	return (burstyRate*min(d, b.QuotaWindow).Seconds()+burstyBurst)*(1+b.QuotaOverage) + b.QuotaSlack
+}
+
+// TestBurstIsSpentOnceAcrossACoordinatorChange guards against a successor of an account's coordinator that starts with a
+// part of a burst which was spent just before.
+func TestBurstIsSpentOnceAcrossACoordinatorChange(t *testing.T) {
+	split := func(nodes []*node) (coordinator *node, others []*node) {
+		for _, n := range nodes {
+			if n.settings.Name == nodes[0].CoordinatorOf("a") {
+				coordinator = n
+			} else {
+				others = append(others, n)
+			}
+		}
+		return coordinator, others
+	}
+	for name, change := range map[string]func(t *testing.T, store *memoryStore, nodes []*node) (left []*node){
+		"planned stop": func(_ *testing.T, _ *memoryStore, nodes []*node) []*node {
+			coordinator, others := split(nodes)
+			go coordinator.Stop()
+			time.Sleep(300 * time.Millisecond)
+			return others
+		},
+		"kill": func(_ *testing.T, _ *memoryStore, nodes []*node) []*node {
+			coordinator, others := split(nodes)
+			coordinator.Kill()
+			time.Sleep(300 * time.Millisecond)
+			return others
+		},
+		"kill of all": func(t *testing.T, store *memoryStore, nodes []*node) []*node {
+			for _, n := range nodes {
+				n.Kill()
+			}
+			return startAll(t, store, len(nodes))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, nodes := startBurstyFleet(t, 4)
+			start := time.Now()
+			served := sendUntilRefused(t, nodes)
+			is.New(t).True(served >= burstyBurst)
+			left := change(t, store, nodes)
+			served += sendUntilRefused(t, left)
+			took := time.Since(start)
+			is.New(t).True(took < left[0].settings.Bounds.QuotaWindow)
+			if most := allowedIn(left[0], took); float64(served) > most {
+				t.Errorf("%d requests served in %v, at most %.1f are allowed", served, took, most)
+			}
+		})
+	}
+}
+
+// TestHandedOverAccountKeepsItsBurst guards against a planned stop of the coordinator after which an account that has spent
+// little gets 429.
+func TestHandedOverAccountKeepsItsBurst(t *testing.T) {
+	is := is.New(t)
+	_, nodes := startBurstyFleet(t, 4)
+	is.Equal(nodes[0].do(t, http.MethodGet, "/safe/x", "k"), http.StatusOK)
+	var left []*node
+	for _, n := range nodes {
+		if n.settings.Name == nodes[0].CoordinatorOf("a") {
+			go n.Stop()
+		} else {
+			left = append(left, n)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	is.True(sendUntilRefused(t, left[:1]) >= burstyBurst/2)
+}
--- a/sidecar/registration.go
+++ b/sidecar/registration.go
@@ -21,6 +21,8 @@
 	generations *generations
 	// onStored is called with the departures that the store holds, after each write.
 	onStored func(Departures)
+	// onFirstStart is called if the store held no entry of this name before the first write.
+	onFirstStart func()
 
 	calls sync.Mutex // held during a write, so that the latest one is complete
 
@@ -67,6 +69,7 @@
 		return err
 	}
 	r.mu.Lock()
+	isFirst := r.stored == nil && stored.Created
 	r.stored = &stored
 	for _, p := range stored.Departed {
 		r.contact.Departed.add(p)
@@ -76,6 +79,9 @@
 	r.mu.Unlock()
 	r.generations.observe(stored.Position.Generation)
 	r.onStored(stored.Departed)
+	if isFirst {
+		r.onFirstStart()
+	}
 	return nil
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -149,11 +149,14 @@
 	}
 	i.quotas = newQuotas(i)
 	i.configuration.onJoined = i.quotas.startTakeover
+	i.registration.onFirstStart = i.quotas.setFirstStart
+	i.members.OnDirectoryChange = i.quotas.onViewChange
 	i.selector = i.newSelector()
 	i.metrics = newMetrics(i)
 	link.Register(i.control, gossip.MethodSync, i.members.HandleSync)
 	link.Register(i.control, methodConfiguration, i.configuration.handleRequest)
 	link.Register(i.control, methodUsage, i.quotas.handleUsage)
+	link.Register(i.control, methodTransfer, i.quotas.handleTransfer)
 }
 
 // retryBudget returns this instance's part of the retry budget: the slack is divided among the endpoints of the
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -63,6 +63,8 @@
 	Contact
 	// Position is where the store's history holds it.
 	Position Position
+	// Created is set if the store held no contact of this name before.
+	Created bool
 }
 
 // ContactPage is a part of the list of registered instances.
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -170,8 +170,9 @@
 func (m *memoryStore) Register(_ context.Context, c sidecar.Contact, _ uint64) (sidecar.Registration, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contacts[c.Name] = c.WithEarlierDepartures(m.contacts[c.Name].Departed)
-	return sidecar.Registration{Contact: m.contacts[c.Name], Position: m.stored.Position}, nil
+	earlier, registered := m.contacts[c.Name]
+	m.contacts[c.Name] = c.WithEarlierDepartures(earlier.Departed)
+	return sidecar.Registration{Contact: m.contacts[c.Name], Position: m.stored.Position, Created: !registered}, nil
 }
 
 func decode(data []byte) (*sidecar.Configuration, error) {
@@ -196,11 +197,22 @@
 type partitionedNetwork struct {
 	link.SystemNetwork
 	partitioned sync.Map // by address
+	// reachable are the only addresses that connections are not partitioned to; nil means all others.
+	reachable atomic.Pointer[map[string]bool]
+}
+
+// isPartitioned reports whether an address can't be reached.
+func (n *partitionedNetwork) isPartitioned(address string) bool {
+	if r := n.reachable.Load(); r != nil && !(*r)[address] {
+		return true
+	}
+	_, ok := n.partitioned.Load(address)
+	return ok
 }
 
 // DialContext implements link.Network.
 func (n *partitionedNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if _, ok := n.partitioned.Load(address); ok {
+	if n.isPartitioned(address) {
 		<-ctx.Done() // a partition gives no response either
 		return nil, ctx.Err()
 	}
@@ -220,7 +232,7 @@
 
 // Write implements net.Conn.
 func (c *partitionedConn) Write(p []byte) (int, error) {
-	if _, ok := c.network.partitioned.Load(c.address); ok {
+	if c.network.isPartitioned(c.address) {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
