Refuse late requests of a planned stop that it would cut

Here: the link listener of an instance stays open while it finishes its own clients' requests, and a request that another instance forwarded late was passed to the backend server and cut at the end of the grace.

Change: once the notice is over, a request whose deadline lies behind the end of the process is refused, "not run", at the entry and the exit side, also of the stand-alone fleet.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -70,6 +70,9 @@
 	// ShutdownDeadline returns the time by which each request must have its response because a planned shutdown ends it
 	// then, or the zero time if there is none, which is the default.
 	ShutdownDeadline func() time.Time
+	// AdmitUntil returns an error if a request that may take until a deadline can't be accepted, because a planned shutdown
+	// would end it before; default nil.
+	AdmitUntil func(deadline time.Time) error
 	// OnDecision is called for each request when its response begins; by default nothing is called.
 	OnDecision func(Decision)
 	// OnPanic is called when an attempt of a request panicked; by default nothing is called.
@@ -104,6 +107,9 @@
 	if o.ShutdownDeadline == nil {
 		o.ShutdownDeadline = func() time.Time { return time.Time{} }
 	}
+	if o.AdmitUntil == nil {
+		o.AdmitUntil = func(time.Time) error { return nil }
+	}
 	if o.OnDecision == nil {
 		o.OnDecision = func(Decision) {}
 	}
@@ -145,6 +151,9 @@
 	if err == nil && !h.options.PassIdempotencyKeys {
 		err = state.readIdempotencyKey()
 	}
+	if err == nil {
+		err = h.options.AdmitUntil(arrived.Add(timeLimit(r, state.route)))
+	}
 	if err != nil {
 		h.refuse(w, state, result.WithRun(err, result.NotRun))
 		return
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -29,6 +29,9 @@
 	// CheckKey returns nil if a request with this API key may run. It is called for requests that waited for a slot, since
 	// their key may have been revoked meanwhile. Default: keys are not checked.
 	CheckKey func(KeyUse) error
+	// AdmitUntil returns an error if a request that may take until a deadline can't be accepted, because a planned shutdown
+	// would end it before; default nil.
+	AdmitUntil func(deadline time.Time) error
 	// Dialect defines the headers of requests to backend servers and interprets the responses; default NativeDialect.
 	Dialect Dialect
 	// OnReplaced is called when another backend server has taken over the address of the given one; by default nothing
@@ -68,6 +71,9 @@
 	if o.Observer == nil {
 		o.Observer = backend.NoObserver{}
 	}
+	if o.AdmitUntil == nil {
+		o.AdmitUntil = func(time.Time) error { return nil }
+	}
 	if o.Dialect == nil {
 		o.Dialect = NativeDialect{}
 	}
@@ -103,6 +109,10 @@
 		return
 	}
 	arrived := time.Now()
+	if err := h.options.AdmitUntil(arrived.Add(remainingTime(r))); err != nil {
+		refuse(w, r, result.WithRun(err, result.NotRun))
+		return
+	}
 	release, err := u.Gate.Acquire(ctx, newSlotRequest(r))
 	if err != nil {
 		setLoad(w, u)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -221,6 +221,7 @@
 		Idempotency:    i.idempotency,
 
 		ShutdownDeadline: i.requests.Deadline,
+		AdmitUntil:       i.requests.Admit,
 		OnPanic: func(_ *http.Request, reason any, stack []byte) {
 			i.options.Events.Log(event.PanicContained, event.PanicFields(reason, stack)...)
 		},
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -29,6 +29,7 @@
 	i.options.Events.Log(event.InstanceDraining)
 	i.members.Drain()
 	wait.Sleep(ctx, drainNotice)
+	i.requests.RefuseUnfinishable()
 	var err error
 	for _, s := range i.servers {
 		if e := s.Shutdown(closing); e != nil {
--- a/internal/httpserver/requests.go
+++ b/internal/httpserver/requests.go
@@ -19,6 +19,8 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	deadline atomic.Pointer[time.Time]
+	// refusesUnfinishable is set when requests that the shutdown may end are no longer accepted.
+	refusesUnfinishable atomic.Bool
 	// running is the number of requests without a whole response, and interrupted how many of them were ended.
 	running, interrupted atomic.Int64
 }
@@ -53,6 +55,21 @@
 	return time.Time{}
 }
 
+// RefuseUnfinishable makes Admit refuse requests from now on that the planned shutdown may end.
+func (r *Requests) RefuseUnfinishable() { r.refusesUnfinishable.Store(true) }
+
+// Admit decides on a request that may take until a deadline and has not run. After RefuseUnfinishable, the error carries
+// ShuttingDown if the planned shutdown would end the request before.
+func (r *Requests) Admit(deadline time.Time) error {
+	if !r.refusesUnfinishable.Load() {
+		return nil
+	}
+	if end := r.Deadline(); end.IsZero() || !end.Before(deadline) {
+		return nil
+	}
+	return result.WithRun(result.New(result.ShuttingDown, "the process ends before the deadline of the request"), result.NotRun)
+}
+
 // EndWith ends all requests as soon as ctx ends. The context that it returns is for the servers' Shutdown and ends
 // ResponseTime later. The returned function releases it.
 func (r *Requests) EndWith(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -36,8 +36,8 @@
 }
 
 // Stop shuts down gracefully. It reports itself as not ready to the platform and as draining to the other instances,
-// serves requests until readinessNotice has passed, finishes the requests in flight and closes. Requests that can't be
-// finished before the forced kill get an error response.
+// serves requests until readinessNotice has passed, finishes the requests in flight and closes. Later requests are refused
+// if the forced kill could come before their deadline; earlier ones that can't be finished get an error response.
 func (i *Instance) Stop() {
 	if i.stopping.Swap(true) {
 		return
@@ -50,6 +50,7 @@
 	i.options.Events.Log(event.InstanceDraining)
 	i.members.Drain()
 	wait.Sleep(ctx, readinessNotice)
+	i.requests.RefuseUnfinishable()
 	for _, s := range i.servers {
 		if s.Shutdown(closing) != nil {
 			_ = s.Close()
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -87,3 +87,54 @@
 	defer func() { _ = resp.Body.Close() }()
 	return result.RunStatus(resp.Header.Get(link.HeaderRun))
 }
+
+// TestLateRequestOfAPlannedStopIsFinishedOrRefused guards against a request that is accepted late in the grace period and cut
+// at its end: another instance forwards it while this one still finishes a request of its own client.
+func TestLateRequestOfAPlannedStopIsFinishedOrRefused(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		sendAt time.Duration // after the stop begins
+		run    result.RunStatus // "" without an error
+	}{
+		{"time enough", 2700 * time.Millisecond, ""},
+		{"too late", 4 * time.Second, result.NotRun},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store := newMemoryStore()
+			configuration := testConfiguration(1)
+			configuration.Routes["once"].TimeLimitMillis = 3000
+			store.put(t, configuration)
+			nodes := startAll(t, store, 2)
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				work := 1500 * time.Millisecond
+				if r.URL.Path == "/once/x" {
+					work = 2900 * time.Millisecond
+				}
+				select {
+				case <-r.Context().Done():
+				case <-time.After(work):
+				}
+			}
+			nodes[0].backend.setHandler(handler)
+			nodes[1].backend.setHandler(handler)
+			var running sync.WaitGroup
+			running.Go(nodes[0].Stop)
+			time.Sleep(2200 * time.Millisecond)
+			running.Go(func() { sendOnce(t, nodes[0]) })
+			time.Sleep(row.sendAt - 2200*time.Millisecond)
+			r, err := http.NewRequest(http.MethodPost, "http://"+nodes[0].settings.Link.String()+"/once/late", nil)
+			is.NoErr(err)
+			r.Header.Set(link.HeaderBackend, nodes[0].backend.id)
+			r.Header.Set(link.HeaderTimeout, "2000")
+			r.Header.Set(link.HeaderExchange, "late")
+			resp, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			_ = resp.Body.Close()
+			is.Equal(result.RunStatus(resp.Header.Get(link.HeaderRun)), row.run)
+			is.Equal(resp.StatusCode == http.StatusOK, row.run == "")
+			running.Wait()
+		})
+	}
+}
