--- a/exit/endless_test.go
+++ b/exit/endless_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -167,3 +169,73 @@
 	r.Header.Set(link.HeaderTimeout, strconv.FormatInt(endlessTimeout.Milliseconds(), 10))
 	return http.DefaultTransport.RoundTrip(r)
 }
+
+// maxEndlessHeap bounds the heap while a backend server sends bytes without end in all its slots: a quarter of the memory that
+// the users' machines have.
+const maxEndlessHeap = 71 << 20
+
+// TestEndlessResponsesKeepLittleMemory guards against an instance that keeps what a backend server sends without end, in a
+// head or in a body, in all its slots at once.
+func TestEndlessResponsesKeepLittleMemory(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct{ beginning, repeated string }{
+		"head":                        {ok, "X-A: b\r\n"},
+		"informational responses":     {"", "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"},
+		"body that ends at its close": {ok + "\r\n", "x"},
+		"chunks":                      {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"trailers":                    {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					c1, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = c1.Close() }()
+						if _, err := http.ReadRequest(bufio.NewReader(c1)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(c1, c.beginning)
+						for block := strings.Repeat(c.repeated, 1+4096/len(c.repeated)); err == nil; {
+							_, err = io.WriteString(c1, block)
+						}
+					}()
+				}
+			}()
+			address := startExit(t, l.Addr().String())
+			var requests sync.WaitGroup
+			for range 12 { // four times its slots
+				requests.Go(func() {
+					if resp, err := sendOverLink(t, address, "/endless"); err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						_ = resp.Body.Close()
+					}
+				})
+			}
+			done := make(chan struct{})
+			go func() {
+				requests.Wait()
+				close(done)
+			}()
+			var most uint64
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				case <-time.After(20 * time.Millisecond):
+				}
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				most = max(most, m.HeapAlloc)
+			}
+			t.Logf("at most %d KiB on the heap", most>>10)
+			is.True(most < maxEndlessHeap)
+		})
+	}
+}
