pipelining: Take in what the client sends before a connection is closed

Cause: the connection was closed with bytes unread behind a response that asks the client to leave. Change: the outgoing direction is closed first, and what arrives is dropped until the client closes its side or 0.5 s have passed.

--- a/entry/pipelining/conn.go
+++ b/entry/pipelining/conn.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -21,6 +23,8 @@
 	maxAheadBytes = 32 << 10
 	// aheadReadBytes is the size of one read ahead of the server's reads.
 	aheadReadBytes = 4 << 10
+	// lingerTime bounds how long a connection takes in what the client still sends, after its last response.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Conn is a connection from a client. Its reads return the bytes of one request at a time. Like those of any connection
@@ -37,6 +41,7 @@
 	pending []byte          // bytes that were received and that the server has not read
 	server  *Server         // nil before the first request
 	front   *http.Request   // that the server processes, nil while it reads the next one
+	handled bool            // the handler has returned for front
 	ahead   []*aheadRequest // requests behind front that are processed, in the order of the connection
 	ended   error           // why nothing more can be received, or nil
 
@@ -53,7 +58,7 @@
 func (c *Conn) ExpectRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.front, c.hasHead = nil, false
+	c.front, c.handled, c.hasHead = nil, false, false
 	c.head.reset()
 }
 
@@ -250,12 +255,34 @@
 	c.ahead = nil
 }
 
-// Close implements net.Conn.
+// finish tells that the handler has returned for the server's request.
+func (c *Conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
+// Close implements net.Conn. Behind a response, it first takes in what the client still sends: a connection that is closed
+// with unread bytes is reset, and the client loses what it has not read of the response.
 func (c *Conn) Close() error {
+	c.mu.Lock()
+	lingers := c.handled && c.ended == nil
+	c.mu.Unlock()
 	c.end(net.ErrClosed)
+	if lingers {
+		c.linger()
+	}
 	return c.Conn.Close()
 }
 
+// linger closes the outgoing direction and drops what arrives, until the client closes its side or lingerTime has passed.
+func (c *Conn) linger() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return // the connection is gone
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // it ends in any case, and nobody is left to hear how
+}
+
 // CloseWrite closes the outgoing direction, so that the client can read the last response.
 func (c *Conn) CloseWrite() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/entry/pipelining/server.go
+++ b/entry/pipelining/server.go
@@ -25,6 +25,7 @@
 
 // Serve answers a request that the http.Server read from c.
 func (s *Server) Serve(c *Conn, w http.ResponseWriter, r *http.Request) {
+	defer c.finish()
 	if a := c.begin(s, r); a != nil {
 		a.deliver(w, r)
 		return
--- a/sidecar/pipelined_stop_test.go
+++ b/sidecar/pipelined_stop_test.go
@@ -94,3 +94,47 @@
 	is.Equal(client.failed.Load(), int64(0))
 	is.Equal(client.cut.Load(), int64(0))
 }
+
+// TestPlannedStopDeliversALargeResponseBeforeOthers guards against a response that is cut by a reset during a planned stop,
+// because the client has sent another request behind it.
+func TestPlannedStopDeliversALargeResponseBeforeOthers(t *testing.T) {
+	is := is.New(t)
+	const size = 1 << 20
+	store := newMemoryStore()
+	store.put(t, testConfiguration(1))
+	nodes := startAll(t, store, 2)
+	for _, node := range nodes {
+		node.backend.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(w, strings.Repeat(" ", size))
+		})
+	}
+	var clients sync.WaitGroup
+	var stopped sync.WaitGroup
+	stopped.Go(nodes[0].Stop)
+	time.Sleep(200 * time.Millisecond)
+	for range 6 {
+		clients.Go(func() {
+			conn, err := net.Dial("tcp", nodes[0].settings.Clients.String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "GET /safe/x HTTP/1.1\r\nHost: h\r\n\r\n"+
+				"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			time.Sleep(50 * time.Millisecond) // the client is slower than the server
+			if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+				t.Errorf("%d bytes of the response arrived: %v", n, err)
+			}
+		})
+	}
+	clients.Wait()
+	stopped.Wait()
+	is.Equal(nodes[0].Ready(), false)
+}
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -93,7 +93,7 @@
 func TestLateRequestOfAPlannedStopIsFinishedOrRefused(t *testing.T) {
 	for _, row := range []struct {
 		name   string
-		sendAt time.Duration // after the stop begins
+		sendAt time.Duration    // after the stop begins
 		run    result.RunStatus // "" without an error
 	}{
 		{"time enough", 2700 * time.Millisecond, ""},
