--- a/sidecar/key_check_test.go
+++ b/sidecar/key_check_test.go
@@ -107,8 +107,9 @@
 		nodes = append(nodes, start(t, late, n, "x"))
 		lateStores[nodes[n].settings.Name] = late
 	}
-	eventually(t, 10*time.Second, "the instances know each other", func() bool {
-		return nodes[0].EndpointCount(serviceName) == 2 && nodes[1].EndpointCount(serviceName) == 2
+	eventually(t, 10*time.Second, "the instances know each other and serve", func() bool {
+		return nodes[0].EndpointCount(serviceName) == 2 && nodes[1].EndpointCount(serviceName) == 2 &&
+			nodes[0].Ready() && nodes[1].Ready()
 	})
 	entry, coordinator := nodes[0], nodes[1]
 	if entry.CoordinatorOf("account-new") == entry.settings.Name {
