--- a/entry/pipelining/conn.go
+++ b/entry/pipelining/conn.go
@@ -277,7 +277,7 @@
 
 // linger closes the outgoing direction and drops what arrives, until the client closes its side or lingerTime has passed.
 func (c *Conn) linger() {
-	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return // the connection is gone
 	}
 	_, _ = io.Copy(io.Discard, c.Conn) // it ends in any case, and nobody is left to hear how
