sidecar: Refuse a transfer that names shards which can't exist

Found on reading the change again: a shard out of range in the message of another instance would have ended the handling of the message in a panic.

TestMalformedTransferIsRefused covers shards below zero, out of range, and more than any fleet has.

--- a/sidecar/coordinator_change.go
+++ b/sidecar/coordinator_change.go
@@ -18,6 +18,8 @@
 const (
 	// maxTransferTries is how often an instance tries to hand accounts over to their next coordinator.
 	maxTransferTries = 3
+	// maxShards bounds the shards that another instance may name: many times those of a fleet of the largest size.
+	maxShards = 4096
 	// transferRetryDelay is the time between two tries.
 	transferRetryDelay = 50 * time.Millisecond
 	// maxTransferLead is how long the next coordinator may take to learn that it is one, after the accounts were handed over
@@ -36,6 +38,16 @@
 	Owned  map[int]int64 `json:"owned"`
 }
 
+// validate returns an error that carries MessageInvalid if the request names shards that can't exist.
+func (r *transferRequest) validate() error {
+	for shard := range r.Owned {
+		if shard < 0 || shard >= r.Shards || r.Shards > maxShards {
+			return result.New(result.MessageInvalid, "shard %d of %d can't be handed over", shard, r.Shards)
+		}
+	}
+	return nil
+}
+
 type transferResponse struct{}
 
 // shardTransfer is what a previous coordinator said of a shard that it handed over.
@@ -183,6 +195,9 @@
 
 // handleTransfer takes accounts over from their previous coordinator.
 func (q *quotas) handleTransfer(_ context.Context, request transferRequest) (any, error) {
+	if err := request.validate(); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	t := q.currentTable()
 	q.mu.Lock()
--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -55,8 +55,9 @@
 }
 
 // owned reports whether an instance coordinated a shard in this table, with the same number of shards as in another one.
+// The shard may be out of range, as another instance has named it.
 func (t *coordinatorTable) owned(id membership.ID, shard, shards int) bool {
-	return t != nil && len(t.coordinators) == shards && t.coordinators[shard] == id
+	return t != nil && len(t.coordinators) == shards && 0 <= shard && shard < shards && t.coordinators[shard] == id
 }
 
 // indexOf returns the position of an instance among all in a directory, by ID.
--- a/sidecar/coordinators_test.go
+++ b/sidecar/coordinators_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"amaranthstile/membership"
+	"amaranthstile/result"
 )
 
 // TestFleetSizeCountsUnseenInstancesForASpan checks that instances that are no longer seen still count for at least one
@@ -53,6 +54,28 @@
 	}
 }
 
+// TestMalformedTransferIsRefused hands over shards that do not exist.
+func TestMalformedTransferIsRefused(t *testing.T) {
+	is := is.New(t)
+	self := membership.ID("a")
+	table := newCoordinatorTable(membership.NewDirectory(map[membership.ID]*membership.Record{self: {ID: self}}))
+	is.True(table.owned(self, 0, 1))
+	for _, row := range []struct{ shard, shards int }{{-1, 1}, {1, 1}, {0, 2}, {1 << 30, 1 << 31}} {
+		is.True(!table.owned(self, row.shard, row.shards))
+	}
+	for _, row := range []struct {
+		request transferRequest
+		code    result.Code
+	}{
+		{transferRequest{Shards: 1, Owned: map[int]int64{0: -1}}, result.OK},
+		{transferRequest{Shards: 1, Owned: map[int]int64{-1: 0}}, result.MessageInvalid},
+		{transferRequest{Shards: 1, Owned: map[int]int64{1: 0}}, result.MessageInvalid},
+		{transferRequest{Shards: 1 << 30, Owned: map[int]int64{1 << 20: -1}}, result.MessageInvalid},
+	} {
+		is.Equal(result.CodeOf(row.request.validate()), row.code)
+	}
+}
+
 // BenchmarkCoordinatorTable ranks the coordinators for one view of the fleet, as happens after each change of the
 // membership.
 func BenchmarkCoordinatorTable(b *testing.B) {
