platform: Log once why a report of a backend server is not acknowledged

Found on reading the change again: a report that the instance ignored was logged as one that can't be read, too, and a departure that is not stored yet only so. 5007 now tells the code and covers what 5006 does not.

--- a/event/event.go
+++ b/event/event.go
@@ -150,8 +150,8 @@
 	{BackendLeft, "backend-left", log.InfoLevel, "A backend server left."},
 	{BackendLapsed, "backend-lapsed", log.WarnLevel, "A backend server stopped renewing its lease; check the server."},
 	{BackendReported, "backend-reported", log.InfoLevel, "The backend server of this instance reported a change of its state."},
-	{BackendReportIgnored, "backend-report-ignored", log.InfoLevel, "A report of a backend server was late or came from an earlier start of the server; it was ignored."},
-	{BackendReportRefused, "backend-report-refused", log.WarnLevel, "A report of a backend server can't be read; it names no usable endpoint."},
+	{BackendReportIgnored, "backend-report-ignored", log.InfoLevel, "A report of a backend server was late, or seems to come from an earlier start of the server; it was ignored, and the code tells why."},
+	{BackendReportRefused, "backend-report-refused", log.WarnLevel, "A report of a backend server was not acknowledged: it can't be read, names no usable endpoint or service, or its departure is not stored yet."},
 
 	{EndpointEjected, "endpoint-ejected", log.WarnLevel, "The backend server of this instance fails and is ejected; the line gives the reason and the ejection time. Check the server."},
 	{EndpointTrials, "endpoint-trials", log.InfoLevel, "The ejection time of a backend server is over; it receives a few repeatable requests as probes."},
--- a/sidecar/local_backend.go
+++ b/sidecar/local_backend.go
@@ -89,9 +89,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.state.isKnown(r.process()) && !b.namesService(r.Service) {
-		err := result.New(result.AnnounceInvalid, "the configuration names no service %s", r.Service)
-		b.logReport(r, err)
-		return err
+		return result.New(result.AnnounceInvalid, "the configuration names no service %s", r.Service)
 	}
 	changed, err := b.state.Apply(time.Now(), r)
 	if changed || err != nil {
