--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -108,7 +108,7 @@
 			store.put(t, configuration)
 			nodes := startAll(t, store, 2)
 			handler := func(w http.ResponseWriter, r *http.Request) {
-				work := 1500 * time.Millisecond
+				work := 1800 * time.Millisecond
 				if r.URL.Path == "/once/x" {
 					work = 2900 * time.Millisecond
 				}
