quota: Spend own shares only when the loss of a coordinator is confirmed

Cause: an instance whose calls fail spent its share of the rate at once, while the coordinator handed out all of the rate to the others; the initial share was renewed a window after it was added and not after its last use.

Change: the share of the rate follows once a relay, of another failure domain where there is one, can't reach the coordinator either, or after 3 s and up to the last failed call. Until then the coordinator withholds the shares of suspected instances. Calls are tried again after 0.5 s in place of 1 s, also in the simulation, which mirrors that interval.

TestTakeoverRefusesFewRequests and the other bounds are unchanged. TestUnreportedRequestsAreReportedOnce and TestFallbackSharesStayWithinRate now let the loss be confirmed first, as shares start with that; the latter also checks that the shares are used.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -38,6 +38,7 @@
 	state         *membership.State // accessed in the owner only
 	leaving       bool              // accessed in the owner only
 	directory     atomic.Pointer[membership.Directory]
+	suspects      atomic.Int64 // number of instances
 	conn          net.PacketConn
 	Traffic       *link.Traffic
 	Authenticator atomic.Pointer[membership.Authenticator]
@@ -107,6 +108,9 @@
 	return out
 }
 
+// SuspectCount returns how many instances are suspected to have failed. It does not wait for the owner.
+func (m *Members) SuspectCount() int { return int(m.suspects.Load()) }
+
 // step calls one method of the state in the owner and carries out the actions that it returns.
 func (m *Members) step(f func(now time.Time) []membership.Action) {
 	m.Owner.Do(func() { m.execute(f(time.Now())) })
@@ -197,6 +201,7 @@
 // execute carries out actions. It runs in the owner.
 func (m *Members) execute(actions []membership.Action) {
 	changed := false
+	m.suspects.Store(int64(m.state.SuspectCount()))
 	for _, a := range actions {
 		switch a := a.(type) {
 		case membership.Send:
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// SuspectCount returns how many members are suspected now.
+func (s *State) SuspectCount() int { return len(s.suspects) }
+
 // isolated reports whether this instance has received no message for so long that the fault may be its own.
 func (s *State) isolated(now time.Time) bool {
 	return now.Sub(s.lastReceived) > s.health.scale(s.config.IsolatedAfter)
--- a/quota/account_bucket_test.go
+++ b/quota/account_bucket_test.go
@@ -200,6 +200,10 @@
 	share := FallbackShare{Rate: 20.0 / instances, Burst: 2}
 	now := time.Unix(1000, 0)
 	limiters := make([]LocalLimiter, instances)
+	for n := range limiters {
+		limiters[n].HandleFailure(now, 0, share)
+		limiters[n].ConfirmLoss(now)
+	}
 	runs := 0
 	for range 5 * 100 * instances {
 		now = now.Add(10 * time.Millisecond / instances)
@@ -210,6 +214,7 @@
 		}
 	}
 	is.True(runs <= 5*20+2*instances)
+	is.True(runs >= 5*20-2*instances)
 }
 
 // TestUnreportedRequestsAreReportedOnce checks that requests spent from the own share are reported once when the
@@ -220,6 +225,8 @@
 	var limiter LocalLimiter
 	limiter.HandleReply(now, "home", BucketState{Level: 1})
 	share := FallbackShare{Rate: 1, Burst: 4, Initial: 1, Window: time.Minute}
+	limiter.HandleFailure(now, 0, share)
+	limiter.ConfirmLoss(now)
 	admit := func(after time.Duration, want SpendDecision) {
 		t.Helper()
 		got, _ := limiter.Admit(now.Add(after), false, share)
--- a/quota/local_limiter.go
+++ b/quota/local_limiter.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// coordinatorTTL is how long after its last reply a coordinator counts as the one that an account moves from.
-const coordinatorTTL = 3 * time.Second
+const (
+	// coordinatorTTL is how long after its last reply a coordinator counts as the one that an account moves from.
+	coordinatorTTL = 3 * time.Second
+	// fallbackDelay is how long the coordinator must have been out of reach before an instance spends its own share of the
+	// rate, unless another instance can't reach it either. Until then the coordinator may hand out all of the rate to others:
+	// it withholds the share of an instance that it suspects, and may take three of the membership's rounds to do so.
+	fallbackDelay = 3 * time.Second
+)
 
 // SpendDecision is the decision of a LocalLimiter on a request.
 type SpendDecision int
@@ -27,12 +33,14 @@
 	repliedAt      time.Time
 	reserved       int // requests that the coordinator has reserved and that were not admitted yet
 	emptyUntil     time.Time
-	onFallback     bool    // the coordinator can't be reached, since fallbackAt at the latest
-	fallbackTokens float64 // left of the instance's own share
-	unreported     int     // requests that were spent and that the coordinator may not know of
-	fallbackAt     time.Time
+	onFallback     bool      // the coordinator can't be reached
+	lossConfirmed  bool      // another instance can't reach it either
+	failedAt       time.Time // when the last call to it failed
+	fallbackTokens float64   // left of the instance's own share of the rate
+	fallbackAt     time.Time // up to when that share was added
+	unreported     int       // requests that were spent and that the coordinator may not know of
 	initialTokens  int       // left of FallbackShare.Initial
-	initialAt      time.Time // when the initial share was added last
+	fallbackUsedAt time.Time // when a request was admitted from the instance's own share last
 }
 
 // Admit decides on one request. The flag reachable says whether the coordinator was reached recently; share is the
@@ -48,16 +56,11 @@
 	}
 	if !reachable {
 		l.refillFallback(now, share)
-		if l.initialTokens > 0 {
-			l.initialTokens-- // no coordinator hands these out, so none has to learn of it
-			return SpendFallback, 0
-		}
-		if l.fallbackTokens >= 1 {
-			l.fallbackTokens--
-			l.unreported++
+		if l.takeFallback(now) {
 			return SpendFallback, 0
 		}
-		return Refuse, time.Duration((1 - l.fallbackTokens) / max(share.Rate, minFallbackRate) * float64(time.Second))
+		refill := time.Duration((1 - l.fallbackTokens) / max(share.Rate, minFallbackRate) * float64(time.Second))
+		return Refuse, max(l.fallbackAt.Sub(now), 0) + refill
 	}
 	if now.Before(l.emptyUntil) {
 		return Refuse, l.emptyUntil.Sub(now)
@@ -74,6 +77,21 @@
 	return true
 }
 
+// takeFallback takes one request of the instance's own share, and reports whether there was one.
+func (l *LocalLimiter) takeFallback(now time.Time) bool {
+	switch {
+	case l.initialTokens > 0:
+		l.initialTokens-- // no coordinator hands these out, so none has to learn of it
+	case l.fallbackTokens >= 1:
+		l.fallbackTokens--
+		l.unreported++
+	default:
+		return false
+	}
+	l.fallbackUsedAt = now
+	return true
+}
+
 // Held returns how many requests the coordinator has reserved for this instance that it has not admitted yet. A reservation
 // expires by the steady clock and by the time of day, which goes on while a machine is suspended.
 func (l *LocalLimiter) Held(now time.Time) int {
@@ -101,19 +119,25 @@
 const minFallbackRate = 0.01
 
 // refillFallback refills the instance's own share while the coordinator can't be reached. What the coordinator handed out
-// until then may have been all that it had: the instances start with what a window may have beyond that, once in a window.
-// One that has never reached a coordinator may have started anew, and starts without.
+// until then may have been all that it had, and others may still reach it: the instances start with what a window may have
+// beyond that, once in a window, and add their shares of the rate later. Unless another instance can't reach the coordinator
+// either, only what accrued up to the last failed call is added. An instance that has never reached a coordinator may have started anew, and starts without.
 func (l *LocalLimiter) refillFallback(now time.Time, share FallbackShare) {
 	if !l.onFallback {
-		l.onFallback = true
-		l.fallbackTokens = 0
-		if l.coordinator != "" && (l.initialAt.IsZero() || now.Sub(l.initialAt) >= share.Window) {
-			l.initialTokens, l.fallbackTokens, l.initialAt = share.Initial, share.Offset, now
+		l.onFallback, l.lossConfirmed = true, false
+		l.fallbackTokens, l.fallbackAt = 0, now.Add(fallbackDelay)
+		if l.coordinator != "" && (l.fallbackUsedAt.IsZero() || now.Sub(l.fallbackUsedAt) >= share.Window) {
+			l.initialTokens, l.fallbackTokens = share.Initial, share.Offset
 		}
-	} else {
-		l.fallbackTokens = min(l.fallbackTokens+now.Sub(l.fallbackAt).Seconds()*share.Rate, max(share.Burst, 1))
 	}
-	l.fallbackAt = now
+	until := l.failedAt
+	if l.lossConfirmed {
+		until = now
+	}
+	if elapsed := until.Sub(l.fallbackAt).Seconds(); elapsed > 0 {
+		l.fallbackTokens = min(l.fallbackTokens+elapsed*share.Rate, max(share.Burst, 1))
+		l.fallbackAt = until
+	}
 }
 
 // HandleReply applies the reply of a coordinator to a report.
@@ -126,6 +150,14 @@
 	}
 }
 
+// ConfirmLoss records that another instance can't reach the coordinator either: it no longer hands out the rate.
+func (l *LocalLimiter) ConfirmLoss(now time.Time) {
+	l.lossConfirmed = true
+	if l.fallbackAt.After(now) {
+		l.fallbackAt = now
+	}
+}
+
 // CoordinatorChanged reports whether the account moved to this coordinator from another one, as far as this instance
 // knows. An instance that never received a level but has spent requests from its own share can't know, and assumes that
 // it did.
@@ -148,5 +180,6 @@
 // more, even if it counts some of them twice. From now on the instance uses its own share.
 func (l *LocalLimiter) HandleFailure(now time.Time, spent int, share FallbackShare) {
 	l.unreported += spent
+	l.failedAt, l.lossConfirmed = now, false
 	l.refillFallback(now, share)
 }
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -21,12 +21,31 @@
 	limiters           []LocalLimiter
 	coordinatorOf      []int       // by instance: the coordinator that it uses
 	unreachableUntil   []time.Time // by instance
+	cuts               []cut       // by instance
 	viewChanges        []viewChange
 	admitted           []time.Time
 	sequence           uint64 // of the latest report
 	random             *rand.Rand
 }
 
+// cut is a span of time in which the calls of one instance fail.
+type cut struct{ from, until time.Time }
+
+// maxSuspicionDelay is how long the coordinator may take to suspect an instance that is cut off: two probe intervals, and
+// the time in which others spread their suspicion.
+const maxSuspicionDelay = 2500 * time.Millisecond
+
+// trustedFraction returns the fraction of the instances that the coordinator does not suspect.
+func (s *takeoverSimulation) trustedFraction(now time.Time) float64 {
+	trusted := 0
+	for _, c := range s.cuts {
+		if now.Sub(c.from) < maxSuspicionDelay || !now.Before(c.until) {
+			trusted++
+		}
+	}
+	return float64(trusted) / float64(len(s.cuts))
+}
+
 // viewChange is the time at which an instance learns of another coordinator.
 type viewChange struct {
 	at          time.Time
@@ -35,14 +54,14 @@
 }
 
 // retryCoordinatorAfter is how long an instance does not ask a coordinator that did not reply.
-const retryCoordinatorAfter = time.Second
+const retryCoordinatorAfter = 500 * time.Millisecond
 
 func newTakeoverSimulation(rate, burst float64, instances, coordinators int, seed uint64) *takeoverSimulation {
 	s := &takeoverSimulation{
 		rate: rate, burst: burst, window: WindowLimit{Length: 5 * time.Second, Overage: 0.1, Slack: 20},
 		buckets: make([]*AccountBucket, coordinators), takeovers: make([]Takeover, coordinators), pausedCoordinators: make([]bool, coordinators),
 		limiters: make([]LocalLimiter, instances), coordinatorOf: make([]int, instances),
-		unreachableUntil: make([]time.Time, instances), random: rand.New(rand.NewPCG(seed, 1)),
+		unreachableUntil: make([]time.Time, instances), cuts: make([]cut, instances), random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	return s
 }
@@ -57,7 +76,7 @@
 		}
 	}
 	r, b := s.window.Allowed(s.rate, s.burst)
-	s.buckets[coordinator].SetLimits(now, r*s.takeovers[coordinator].Fraction(now, len(s.limiters)), b)
+	s.buckets[coordinator].SetLimits(now, r*min(s.takeovers[coordinator].Fraction(now, len(s.limiters)), s.trustedFraction(now)), b)
 	return s.buckets[coordinator]
 }
 
@@ -117,12 +136,21 @@
 	if decision == SpendFallback || decision == Refuse {
 		return
 	}
-	if s.pausedCoordinators[coordinator] {
+	if lost := s.pausedCoordinators[coordinator]; lost || now.Before(s.cuts[n].until) {
 		s.unreachableUntil[n] = now.Add(retryCoordinatorAfter)
 		if decision == SpendNow {
 			limiter.HandleFailure(now, 1, share)
 			s.admitted = append(s.admitted, now)
-		} else if v, _ := limiter.Admit(now, false, share); v == SpendFallback {
+		} else {
+			limiter.HandleFailure(now, 0, share)
+		}
+		if lost {
+			limiter.ConfirmLoss(now)
+		}
+		if decision == SpendNow {
+			return
+		}
+		if v, _ := limiter.Admit(now, false, share); v == SpendFallback {
 			s.admitted = append(s.admitted, now)
 		}
 		return
@@ -201,6 +229,35 @@
 	})
 }
 
+// TestBucketKeepsWindowLimitWhileSomeInstancesAreCutOff guards against instances that spend their shares of the rate while
+// the coordinator, which others still reach, hands out all of it.
+func TestBucketKeepsWindowLimitWhileSomeInstancesAreCutOff(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		rate := rapid.Float64Range(5, 60).Draw(r, "rate")
+		burst := rapid.Float64Range(1, 60).Draw(r, "burst")
+		load := rapid.Float64Range(1, 8).Draw(r, "load")
+		instances := rapid.IntRange(2, 40).Draw(r, "instances")
+		cutsPerSecond := rapid.Float64Range(0.1, 10).Draw(r, "cuts")
+		longest := time.Duration(rapid.IntRange(100, 8000).Draw(r, "longest")) * time.Millisecond
+		s := newTakeoverSimulation(rate, burst, instances, 1, rapid.Uint64().Draw(r, "seed"))
+		now := time.Unix(1000, 0)
+		for end := now.Add(20 * time.Second); now.Before(end); {
+			before := now
+			now = now.Add(time.Duration(s.random.ExpFloat64() / (rate * load) * float64(time.Second)))
+			if s.random.Float64() < cutsPerSecond*now.Sub(before).Seconds() {
+				if c := &s.cuts[s.random.IntN(instances)]; !now.Before(c.until) {
+					*c = cut{now, now.Add(s.randomDelay(longest))}
+				}
+			}
+			s.request(now, s.random.IntN(instances))
+		}
+		bound := (rate*s.window.Length.Seconds()+burst)*(1+s.window.Overage) + s.window.Slack
+		if got := maxInWindow(s.admitted, s.window.Length); float64(got) > bound {
+			r.Fatalf("%d requests admitted in a window, at most %.1f are allowed", got, bound)
+		}
+	})
+}
+
 // TestTakeoverRefusesFewRequests plays an account at seven tenths of its rate while its coordinator is killed. Few of
 // its requests may be refused, although no instance knows the whole level until all instances have learned of the new
 // coordinator.
--- a/sidecar/coordinators.go
+++ b/sidecar/coordinators.go
@@ -31,6 +31,8 @@
 	// since is when this instance became the coordinator of each shard that it coordinates; zero if no other one has
 	// counted for its accounts.
 	since []time.Time
+	// gainedAt is when this instance saw that it coordinates each of its shards.
+	gainedAt []time.Time
 	// index is the position of this instance among all that it sees, by ID.
 	index int
 }
@@ -39,7 +41,7 @@
 	t := &coordinatorTable{
 		directory: d, coordinators: d.ShardOwners(max(len(d.Records())/instancesPerCoordinator, 1)),
 	}
-	t.since = make([]time.Time, len(t.coordinators))
+	t.since, t.gainedAt = make([]time.Time, len(t.coordinators)), make([]time.Time, len(t.coordinators))
 	return t
 }
 
@@ -98,13 +100,14 @@
 	return max(len(q.instance.members.Directory().Records()), 1)
 }
 
-// grantableShare returns the share of the accounts' rates that this coordinator may grant. It is the product of two
-// shares: the instances it sees, of the most that it saw recently, since the others may be partitioned off with a
-// coordinator of their own; and the instances that already moved to it from another coordinator. The calling function
-// holds the lock.
+// grantableShare returns the share of the accounts' rates that this coordinator may grant: that of the instances which
+// it sees, of the most that it saw recently, since the others may be partitioned off with a coordinator of their own.
+// Instances that it suspects, or that have not yet moved to it from another coordinator, may spend their own shares. The
+// calling function holds the lock.
 func (q *quotas) grantableShare(now time.Time) float64 {
 	seen := q.instanceCount()
-	return float64(seen) / float64(q.fleet.largest(now, seen)) * q.takeover.Fraction(now, seen)
+	trusted := float64(max(seen-q.instance.members.SuspectCount(), 1))
+	return min(trusted, float64(seen)*q.takeover.Fraction(now, seen)) / float64(q.fleet.largest(now, seen))
 }
 
 // fleetSize tracks the largest number of instances that was seen recently. The zero value has seen none.
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -19,9 +19,13 @@
 	// usageTimeout bounds one call to a coordinator: many times its usual latency, and a small part of a request's
 	// time limit.
 	usageTimeout = 150 * time.Millisecond
-	// coordinatorCooldown is how long a coordinator that did not respond is not called directly, and how long each
-	// instance admits requests from its own share after a failed call.
+	// relayedUsageTimeout bounds the call to the coordinator by an instance that relays it, so that its failure is known
+	// before usageTimeout has passed at the caller.
+	relayedUsageTimeout = 100 * time.Millisecond
+	// coordinatorCooldown is how long a coordinator that did not respond is not called directly.
 	coordinatorCooldown = time.Second
+	// coordinatorRetryInterval is how long each instance admits requests from its own share after a failed call.
+	coordinatorRetryInterval = 500 * time.Millisecond
 	// instancesPerCoordinator is how many instances share a coordinator; a larger fleet spreads the accounts over more
 	// coordinators.
 	instancesPerCoordinator = 32
@@ -207,7 +211,11 @@
 		return q.countUsage(request), nil
 	}
 	request.Relayed = true
-	return q.callInstance(request.Coordinator, request)
+	response, err := q.callInstance(request.Coordinator, request)
+	if err != nil {
+		return usageResponse{Failed: result.CodeOf(err)}, nil
+	}
+	return response, nil
 }
 
 // countUsage counts usage as the coordinator of the accounts, and grants requests as far as the token buckets allow.
--- a/sidecar/usage.go
+++ b/sidecar/usage.go
@@ -39,6 +39,9 @@
 	// Coordinator is the instance that has counted the usage.
 	Coordinator membership.ID                `json:"home,omitempty"`
 	Accounts    map[string]quota.BucketState `json:"accounts"`
+	// Failed is the code of the error with which an instance failed to relay the call to the coordinator, or 0. No
+	// instance has counted the usage then.
+	Failed result.Code `json:"failed,omitempty"`
 }
 
 // usageQueue holds the usage that waits to be reported to one coordinator.
@@ -147,26 +150,27 @@
 	return q.callInstance(q.pickRelay(uq.id), request)
 }
 
-// pickRelay returns a random instance to relay a call to a coordinator, preferably one of the own failure domain. It
-// returns the coordinator itself if there is no other instance.
+// pickRelay returns a random instance to relay a call to a coordinator, preferably one of another failure domain: if it
+// can't reach the coordinator either, this is not the fault of the own one. It returns the coordinator itself if there is
+// no other instance.
 func (q *quotas) pickRelay(coordinator membership.ID) membership.ID {
-	var near, far []membership.ID
+	var all, elsewhere []membership.ID
 	for id, r := range q.instance.members.Directory().Records() {
 		if id == coordinator || id == q.instance.id || r.Leaving {
 			continue
 		}
-		far = append(far, id)
-		if r.Domain == q.instance.options.Settings.Domain {
-			near = append(near, id)
+		all = append(all, id)
+		if r.Domain != q.instance.options.Settings.Domain {
+			elsewhere = append(elsewhere, id)
 		}
 	}
-	if len(near) == 0 {
-		near = far
+	if len(elsewhere) == 0 {
+		elsewhere = all
 	}
-	if len(near) == 0 {
+	if len(elsewhere) == 0 {
 		return coordinator
 	}
-	return near[rand.IntN(len(near))]
+	return elsewhere[rand.IntN(len(elsewhere))]
 }
 
 // callInstance sends a request to one instance; a request to this instance itself needs no network call.
@@ -178,9 +182,16 @@
 	if !ok {
 		return response, result.New(result.PeerUnknown, "the instance %s is not in the membership", id)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
+	timeout := usageTimeout
+	if request.Relayed {
+		timeout = relayedUsageTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err = q.instance.calls.Call(ctx, r.Control.String(), methodUsage, request, &response)
+	if err == nil && response.Failed != result.OK {
+		err = result.New(response.Failed, "%s could not relay the call to %s", id, request.Coordinator)
+	}
 	return response, err
 }
 
@@ -195,12 +206,16 @@
 		q.instance.options.Events.Log(event.HomeSilent,
 			event.F("home", string(uq.id)), event.F("code", int(result.CodeOf(err))),
 			event.F("accounts", len(request.Accounts)))
-		uq.unreachableUntil = now.Add(coordinatorCooldown)
+		uq.unreachableUntil = now.Add(coordinatorRetryInterval)
 	}
 	for name, u := range request.Accounts {
 		state, known := response.Accounts[name]
 		if err != nil || !known {
-			q.localQuota(name).HandleFailure(now, u.Spent, q.localShareOf(now, name))
+			local := q.localQuota(name)
+			local.HandleFailure(now, u.Spent, q.localShareOf(now, name))
+			if response.Failed != result.OK {
+				local.ConfirmLoss(now)
+			}
 			continue
 		}
 		q.localQuota(name).HandleReply(now, string(cmp.Or(response.Coordinator, uq.id)), state)
