quota: Withhold what accrued while the coordinator was paused

Cause: the bucket fills during the pause, in which the other instances spend their shares of the same rate; what they spent is reported only when they call again.

Change: a coordinator that has not run for 0.3 s keeps back what accrued until 0.5 s after its return. Reported requests come out of that, the rest goes to the bucket after 2 s.

--- a/quota/account_bucket.go
+++ b/quota/account_bucket.go
@@ -20,6 +20,7 @@
 	reservations reservations
 	spent        float64 // what was taken from the bucket since it was created or its past was forgotten
 	released     releasedShares
+	withheld     withheldTokens
 }
 
 // NewAccountBucket returns the bucket of an account that may have spent its burst at another coordinator until a time. The
@@ -101,6 +102,42 @@
 	b.level, b.spent = min(b.level, 0), 0
 }
 
+// Withhold keeps back what accrues from the last update until a time: the coordinator was paused until now, and instances
+// that can't reach it spend their own shares until they call again. It goes to the requests that they report, and the rest
+// to the bucket after withheldSpan.
+func (b *AccountBucket) Withhold(now, until time.Time) {
+	if elapsed := until.Sub(b.updatedAt).Seconds(); b.initialized && elapsed > 0 {
+		b.withheld = withheldTokens{tokens: b.withheld.tokens + elapsed*b.rate, until: now.Add(withheldSpan)}
+		b.updatedAt = until
+	}
+}
+
+// withheldSpan is how long after a pause of the coordinator the instances may take to report what they spent: they call
+// again at least once a second.
+const withheldSpan = 2 * time.Second
+
+// withheldTokens are tokens that are kept back for reported requests until a time.
+type withheldTokens struct {
+	tokens float64
+	until  time.Time
+}
+
+// cover takes the tokens of reported requests, and returns how many requests they cover.
+func (w *withheldTokens) cover(requests float64) float64 {
+	covered := min(w.tokens, requests)
+	w.tokens -= covered
+	return covered
+}
+
+// release returns the tokens that are left once no further report is expected.
+func (w *withheldTokens) release(now time.Time) (tokens float64) {
+	if now.Before(w.until) {
+		return 0
+	}
+	tokens, w.tokens = w.tokens, 0
+	return tokens
+}
+
 // capacity returns the highest level: what is reserved counts as part of the burst.
 func (b *AccountBucket) capacity() float64 { return b.burst - float64(b.reservations.total) }
 
@@ -120,8 +157,12 @@
 func (b *AccountBucket) Spend(now time.Time, u Usage) BucketState {
 	b.level += float64(b.reservations.expire(now))
 	b.refill(now)
+	if left := b.withheld.release(now); left > 0 {
+		b.level = max(b.level, min(b.level+left, b.capacity()))
+	}
 	covered, returned := b.reservations.settle(now, u)
-	b.level = max(b.level+float64(returned)-float64(u.Spent-covered), -b.burst-maxDebt)
+	unreserved := float64(u.Spent - covered)
+	b.level = max(b.level+float64(returned)-unreserved+b.withheld.cover(unreserved), -b.burst-maxDebt)
 	granted := min(u.Requested, int(max(b.level, 0)))
 	b.level -= float64(granted)
 	reserved := b.reservations.reserve(now, u.Instance, int(b.level-reserveLevel*b.burst))
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -258,6 +258,33 @@
 	})
 }
 
+// TestBucketKeepsWindowLimitWhileTheCoordinatorIsPaused guards against a coordinator that hands out what accrued while it was
+// paused, although instances spent that from their own shares. The pause is too short for another one to take its place.
+func TestBucketKeepsWindowLimitWhileTheCoordinatorIsPaused(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		rate := rapid.Float64Range(5, 60).Draw(r, "rate")
+		burst := rapid.Float64Range(1, 60).Draw(r, "burst")
+		load := rapid.Float64Range(1, 8).Draw(r, "load")
+		instances := rapid.IntRange(2, 40).Draw(r, "instances")
+		s := newTakeoverSimulation(rate, burst, instances, 1, rapid.Uint64().Draw(r, "seed"))
+		now := time.Unix(1000, 0)
+		paused := now.Add(s.randomDelay(8 * time.Second))
+		resumed := paused.Add(300*time.Millisecond + s.randomDelay(2500*time.Millisecond))
+		for end := now.Add(16 * time.Second); now.Before(end); {
+			now = now.Add(time.Duration(s.random.ExpFloat64() / (rate * load) * float64(time.Second)))
+			if s.pausedCoordinators[0] && !now.Before(resumed) && s.buckets[0] != nil {
+				s.buckets[0].Withhold(now, now.Add(retryCoordinatorAfter))
+			}
+			s.pausedCoordinators[0] = !now.Before(paused) && now.Before(resumed)
+			s.request(now, s.random.IntN(instances))
+		}
+		bound := (rate*s.window.Length.Seconds()+burst)*(1+s.window.Overage) + s.window.Slack
+		if got := maxInWindow(s.admitted, s.window.Length); float64(got) > bound {
+			r.Fatalf("%d requests admitted in a window, at most %.1f are allowed", got, bound)
+		}
+	})
+}
+
 // TestTakeoverRefusesFewRequests plays an account at seven tenths of its rate while its coordinator is killed. Few of
 // its requests may be refused, although no instance knows the whole level until all instances have learned of the new
 // coordinator.
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -24,6 +24,10 @@
 	relayedUsageTimeout = 100 * time.Millisecond
 	// coordinatorCooldown is how long a coordinator that did not respond is not called directly.
 	coordinatorCooldown = time.Second
+	// pauseCheckInterval is how often an instance notes that it runs, and minPause how long it must not have done so to
+	// have been paused: calls to it then failed.
+	pauseCheckInterval = 100 * time.Millisecond
+	minPause           = 2 * usageTimeout
 	// coordinatorRetryInterval is how long each instance admits requests from its own share after a failed call.
 	coordinatorRetryInterval = 500 * time.Millisecond
 	// instancesPerCoordinator is how many instances share a coordinator; a larger fleet spreads the accounts over more
@@ -56,6 +60,7 @@
 	sequence    uint64                // of the latest report of this instance
 	fleet       fleetSize
 	startedAt   time.Time
+	ranAt       time.Time // when this instance noted last that it runs
 	// isFirstStart is set once it is known that no instance of this name ran before, and joinedFleet if this instance
 	// joined a fleet that ran already.
 	isFirstStart, joinedFleet bool
@@ -225,6 +230,7 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.detectPause(now)
 	if q.takeover.RecordCall(now, string(request.From), request.Moved) {
 		for _, b := range q.buckets {
 			b.ForgetPast(now)
@@ -265,10 +271,16 @@
 func (q *quotas) run(ctx context.Context) {
 	ticker := time.NewTicker(cleanupInterval)
 	defer ticker.Stop()
+	pauseCheck := time.NewTicker(pauseCheckInterval)
+	defer pauseCheck.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-pauseCheck.C:
+			q.mu.Lock()
+			q.detectPause(time.Now())
+			q.mu.Unlock()
 		case <-q.viewChanged:
 			q.currentTable()
 		case <-ticker.C:
@@ -277,6 +289,17 @@
 	}
 }
 
+// detectPause notes that this instance runs. If it was paused, other instances could not reach it and spent their own shares
+// of the accounts that it coordinates. The calling function holds the lock.
+func (q *quotas) detectPause(now time.Time) {
+	if !q.ranAt.IsZero() && now.Sub(q.ranAt) >= minPause {
+		for _, b := range q.buckets {
+			b.Withhold(now, now.Add(coordinatorRetryInterval))
+		}
+	}
+	q.ranAt = now
+}
+
 // cleanUp drops the state of accounts that are no longer configured and of instances that left.
 func (q *quotas) cleanUp() {
 	view := q.instance.configuration.view()
