sidecar: Keep the count when a cut-off coordinator hands over

What callers would see: an account below its rate gets 429 for up to burst + 50 requests' time after an instance that was cut off returns.

Cause: the cut-off instance coordinates all accounts for itself and hands them over on its return; the coordinator that served everybody else replaced its level by what it was told less all that it had ever handed out. And what a transfer said of a shard stayed in force after it was used, so that a shard that came back within 5 s counted as one that nobody else had counted for.

Change: a transfer counts only for a shard that the instance does not coordinate, or has for less than 5 s; it is used once.

Evidence: TestTransferOfACutOffCoordinatorKeepsTheCount gets 429 without the change.

--- a/sidecar/coordinator_change.go
+++ b/sidecar/coordinator_change.go
@@ -90,11 +90,13 @@
 			continue
 		}
 		if before.owned(self, shard, shards) {
-			t.since[shard] = before.since[shard]
+			t.since[shard], t.gainedAt[shard] = before.since[shard], before.gainedAt[shard]
 			continue
 		}
+		t.gainedAt[shard] = now
 		if x, ok := q.transfers[shard]; ok && x.shards == shards && now.Sub(x.receivedAt) < maxTransferLead {
 			t.since[shard] = x.since
+			delete(q.transfers, shard) // the next coordinator after this one hands over again
 			continue
 		}
 		t.since[shard] = now
@@ -202,19 +204,25 @@
 	t := q.currentTable()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for name, x := range request.Accounts {
+		if !q.countsFor(now, t, t.shardOf(name), len(t.coordinators)) {
+			q.takeOver(now, name, x)
+		}
+	}
 	for shard, age := range request.Owned {
+		if q.countsFor(now, t, shard, request.Shards) {
+			continue
+		}
 		since := time.Time{}
 		if age >= 0 {
 			since = now.Add(-time.Duration(age) * time.Millisecond)
 		}
-		q.transfers[shard] = shardTransfer{shards: request.Shards, receivedAt: now, since: since}
 		if t.owned(q.instance.id, shard, request.Shards) {
 			t.since[shard] = since
 			delete(q.gained, shard)
+			continue
 		}
-	}
-	for name, x := range request.Accounts {
-		q.takeOver(now, name, x)
+		q.transfers[shard] = shardTransfer{shards: request.Shards, receivedAt: now, since: since}
 	}
 	if len(request.Owned) > 0 && len(q.gained) == 0 {
 		q.takeover.End(now)
@@ -222,6 +230,12 @@
 	return transferResponse{}, nil
 }
 
+// countsFor reports whether this instance has coordinated a shard for so long that what another one says of its accounts
+// does not replace what it knows: that one was cut off and coordinated them for itself.
+func (q *quotas) countsFor(now time.Time, t *coordinatorTable, shard, shards int) bool {
+	return t.owned(q.instance.id, shard, shards) && now.Sub(t.gainedAt[shard]) >= maxTransferLead
+}
+
 // takeOver takes one account over. The calling function holds the lock.
 func (q *quotas) takeOver(now time.Time, name string, x quota.Transfer) {
 	view := q.instance.configuration.view()
--- a/sidecar/fresh_coordinator_test.go
+++ b/sidecar/fresh_coordinator_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"amaranthstile/link"
 	"amaranthstile/ticket"
 )
 
@@ -179,3 +180,29 @@
 	time.Sleep(300 * time.Millisecond)
 	is.True(sendUntilRefused(t, left[:1]) >= burstyBurst/2)
 }
+
+// TestTransferOfACutOffCoordinatorKeepsTheCount guards against an instance that coordinated an account for itself while it was
+// cut off, and whose transfer then replaces the level at the coordinator that served all others: the account got 429.
+func TestTransferOfACutOffCoordinatorKeepsTheCount(t *testing.T) {
+	is := is.New(t)
+	_, nodes := startLimitedFleet(t, 3)
+	time.Sleep(3 * time.Second) // longer than a new coordinator waits for the transfer of the previous one
+	var coordinator *node
+	for _, n := range nodes {
+		if n.settings.Name == nodes[0].CoordinatorOf("a") {
+			coordinator = n
+		}
+	}
+	for range 3 * limitedBurst {
+		coordinator.do(t, http.MethodGet, "/safe/x", "k")
+	}
+	time.Sleep(time.Second) // refills more than the burst
+	client := link.NewControlClient(link.SystemNetwork{}, nil)
+	defer client.Close()
+	is.NoErr(client.Call(t.Context(), coordinator.settings.Control.String(), "account.transfer", map[string]any{
+		"accounts": map[string]any{"a": map[string]any{"level": 0}}, "shards": 1, "owned": map[string]any{"0": 1000},
+	}, &struct{}{}))
+	for range limitedBurst / 2 {
+		is.Equal(coordinator.do(t, http.MethodGet, "/safe/x", "k"), http.StatusOK)
+	}
+}
