pipelining: Go on delimiting requests that arrive before the handler runs

What clients saw: at times none of the requests that they sent ahead was started ahead; all were processed in turn (TestAheadRequestsAreBounded, known red).

Cause: net/http reads ahead as soon as it has read a request. If 32 KiB arrived before the request was passed to the handler, the connection was read as it is from then on.

Change: such a read returns no bytes; the requests that were received are started when the handler begins.

Evidence: TestRequestsAreStartedAheadOfALateHandler, with 20 ms before the handler, starts no request ahead without the change in 10 s; it passes now. TestAheadRequestsAreBounded, -race -count=100: passes.

--- a/entry/pipelining/conn.go
+++ b/entry/pipelining/conn.go
@@ -155,16 +155,20 @@
 
 // readAhead receives what follows the request that the server processes, and starts the requests in it. Like a read of
 // an idle connection, it returns only when the connection ends, when its read deadline passes, or with bytes for the
-// server once too many have been received.
+// server once too many have been received. If that is before the server has passed its request to the handler, it returns
+// none: begin starts the requests then.
 func (c *Conn) readAhead(p []byte) (int, error) {
 	buffer := p[:min(len(p), 1)] // no larger buffer is needed for connections without pipelining
 	for {
 		c.mu.Lock()
 		c.startAhead()
-		full := len(c.pending) >= maxAheadBytes
-		c.opaque = c.opaque || full
+		full, early := len(c.pending) >= maxAheadBytes, c.front == nil
+		c.opaque = c.opaque || full && !early
 		c.mu.Unlock()
-		if full {
+		switch {
+		case full && early:
+			return 0, nil
+		case full:
 			return c.takePending(p), nil
 		}
 		n, err := c.Conn.Read(buffer)
--- a/entry/pipelining/conn_test.go
+++ b/entry/pipelining/conn_test.go
@@ -41,6 +41,7 @@
 	gates   sync.Map // from path to chan struct{}: the handler waits until it is closed
 	running atomic.Int32
 	peak    atomic.Int32
+	delay   atomic.Int64 // between the read of a request and its handler, in nanoseconds
 
 	mu      sync.Mutex
 	started []string // paths
@@ -69,6 +70,7 @@
 			}
 		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Duration(s.delay.Load()))
 			p.Serve(r.Context().Value(connKey{}).(*pipelining.Conn), w, r)
 		}),
 	}
@@ -401,8 +403,22 @@
 
 // TestAheadRequestsAreBounded sends 200 requests behind one that is held: few are processed, and all are answered.
 func TestAheadRequestsAreBounded(t *testing.T) {
-	const requests = 200
 	s := newTestServer(t)
+	checkAheadRequestsAreBounded(t, s)
+}
+
+// TestRequestsAreStartedAheadOfALateHandler guards against a connection that stops to delimit requests when many are received
+// before the first one is passed to the handler.
+func TestRequestsAreStartedAheadOfALateHandler(t *testing.T) {
+	s := newTestServer(t)
+	s.delay.Store(int64(20 * time.Millisecond))
+	checkAheadRequestsAreBounded(t, s)
+}
+
+// checkAheadRequestsAreBounded sends many requests behind one that is held, and more bytes than are read ahead.
+func checkAheadRequestsAreBounded(t *testing.T, s *testServer) {
+	t.Helper()
+	const requests = 200
 	open := s.gate("/safe/0")
 	c := s.dial()
 	text, want := "", []string{}
