link: Let a test server reply to the hello that it has received

Cause: the server of the test sent its reply to the hello when it accepted the connection. A client that reads it before it has made the call drops it, waits in vain for a reply, and the call of the test ends with LinkUnreachable.

The checks are the same.

--- a/link/control_test.go
+++ b/link/control_test.go
@@ -267,7 +267,10 @@
 			if err != nil {
 				return
 			}
-			// The server replies to the hello only.
+			// The server replies to the hello only, once that arrives: a client drops replies to calls that it has not made.
+			if _, err := c.Read(make([]byte, 1)); err != nil {
+				continue
+			}
 			_, _ = c.Write([]byte(frame(`{"jsonrpc":"2.0","id":0,"result":{"oldest":1,"newest":1}}`)))
 			accepted <- c
 		}
