--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,7 @@
 	HomeSilent      ID = 4205
 
 	AccountsTransferred ID = 4206
+	InstancePaused      ID = 4207
 
 	TryEnded ID = 4004
 
@@ -142,8 +143,9 @@
 	{StandingGained, "standing-gained", log.InfoLevel, "The instance is authorized to serve client accounts."},
 	{StandingLost, "standing-lost", log.WarnLevel, "The instance can't reach a majority of the witnesses, directly or through others; it rejects requests with a key."},
 	{RosterProposed, "roster-proposed", log.InfoLevel, "This instance stored a new roster of homes and witnesses."},
-	{HomeSilent, "home-silent", log.WarnLevel, "The instance that coordinates the rate limits of some client accounts does not respond; meanwhile this instance applies its own share of the limits."},
+	{HomeSilent, "home-silent", log.WarnLevel, "The instance that coordinates the rate limits of some client accounts does not respond; meanwhile this instance applies its own share of the limits. The code is the relay's if that can't reach the coordinator either."},
 	{AccountsTransferred, "accounts-transferred", log.InfoLevel, "This instance handed the rate limits of client accounts over to the next instance that coordinates them; with a code other than 0, that one starts without their counts."},
+	{InstancePaused, "instance-paused", log.WarnLevel, "This instance did not run for the time given: it was paused or got no processor. Of the client accounts whose rate limits it coordinates, it keeps back what accrued meanwhile, as other instances spent their own shares."},
 
 	{BackendAnnounced, "backend-announced", log.InfoLevel, "A backend server registered itself."},
 	{BackendDraining, "backend-draining", log.InfoLevel, "A backend server asked to receive no new requests."},
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/event"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/quota"
@@ -292,7 +293,9 @@
 // detectPause notes that this instance runs. If it was paused, other instances could not reach it and spent their own shares
 // of the accounts that it coordinates. The calling function holds the lock.
 func (q *quotas) detectPause(now time.Time) {
-	if !q.ranAt.IsZero() && now.Sub(q.ranAt) >= minPause {
+	if paused := now.Sub(q.ranAt); !q.ranAt.IsZero() && paused >= minPause {
+		q.instance.options.Events.Log(event.InstancePaused,
+			event.F("paused_ms", paused.Milliseconds()), event.F("accounts", len(q.buckets)))
 		for _, b := range q.buckets {
 			b.Withhold(now, now.Add(coordinatorRetryInterval))
 		}
