quota: Withhold after a pause only what accrued in it

Found on reading the change again: an account that had not been used for long before a pause of its coordinator was refused for 2 s, as all since its last request was kept back. What accrued before the pause now goes to the bucket first, and what is kept back is dropped when another coordinator's count replaces it.

TestPausedCoordinatorHandsOutNothingTwice has a row for it, which fails without the change.

--- a/quota/account_bucket.go
+++ b/quota/account_bucket.go
@@ -99,13 +99,14 @@
 // ForgetPast records that requests were spent at another coordinator.
 func (b *AccountBucket) ForgetPast(now time.Time) {
 	b.refill(now)
-	b.level, b.spent = min(b.level, 0), 0
+	b.level, b.spent, b.withheld = min(b.level, 0), 0, withheldTokens{}
 }
 
-// Withhold keeps back what accrues from the last update until a time: the coordinator was paused until now, and instances
+// Withhold keeps back what accrues between two times: the coordinator was paused from the first one until now, and instances
 // that can't reach it spend their own shares until they call again. It goes to the requests that they report, and the rest
 // to the bucket after withheldSpan.
-func (b *AccountBucket) Withhold(now, until time.Time) {
+func (b *AccountBucket) Withhold(now, from, until time.Time) {
+	b.refill(from)
 	if elapsed := until.Sub(b.updatedAt).Seconds(); b.initialized && elapsed > 0 {
 		b.withheld = withheldTokens{tokens: b.withheld.tokens + elapsed*b.rate, until: now.Add(withheldSpan)}
 		b.updatedAt = until
@@ -219,6 +220,7 @@
 // TakeOver applies what the previous coordinator hands over. What was taken from this bucket meanwhile comes out of that.
 func (b *AccountBucket) TakeOver(now time.Time, t Transfer) {
 	b.refill(now)
+	b.withheld = withheldTokens{}
 	b.reservations.add(now, t.Reserved)
 	b.level = min(t.Level-b.spent, b.capacity())
 }
--- a/quota/local_limiter.go
+++ b/quota/local_limiter.go
@@ -121,7 +121,8 @@
 // refillFallback refills the instance's own share while the coordinator can't be reached. What the coordinator handed out
 // until then may have been all that it had, and others may still reach it: the instances start with what a window may have
 // beyond that, once in a window, and add their shares of the rate later. Unless another instance can't reach the coordinator
-// either, only what accrued up to the last failed call is added. An instance that has never reached a coordinator may have started anew, and starts without.
+// either, only what accrued up to the last failed call is added. An instance that has never reached a coordinator may have
+// started anew, and starts without.
 func (l *LocalLimiter) refillFallback(now time.Time, share FallbackShare) {
 	if !l.onFallback {
 		l.onFallback, l.lossConfirmed = true, false
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -273,7 +273,7 @@
 		for end := now.Add(16 * time.Second); now.Before(end); {
 			now = now.Add(time.Duration(s.random.ExpFloat64() / (rate * load) * float64(time.Second)))
 			if s.pausedCoordinators[0] && !now.Before(resumed) && s.buckets[0] != nil {
-				s.buckets[0].Withhold(now, now.Add(retryCoordinatorAfter))
+				s.buckets[0].Withhold(now, paused, now.Add(retryCoordinatorAfter))
 			}
 			s.pausedCoordinators[0] = !now.Before(paused) && now.Before(resumed)
 			s.request(now, s.random.IntN(instances))
--- a/sidecar/pause_test.go
+++ b/sidecar/pause_test.go
@@ -15,11 +15,13 @@
 func TestPausedCoordinatorHandsOutNothingTwice(t *testing.T) {
 	const rate, burst = 10, 20
 	for name, row := range map[string]struct {
+		idle    time.Duration // of the account, while this instance runs
 		silent  time.Duration // since this instance noted that it runs
 		granted int
 	}{
-		"paused":     {time.Second, 0},
-		"not paused": {minPause - time.Millisecond, 2},
+		"paused":                      {0, time.Second, 0},
+		"not paused":                  {0, minPause - time.Millisecond, 2},
+		"paused after an idle minute": {time.Minute, time.Second, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -28,9 +30,9 @@
 			b.SetLimits(now, rate, burst)
 			q := &quotas{
 				instance: &Instance{options: Options{Events: event.Discard()}},
-				buckets:  map[string]*quota.AccountBucket{"a": b}, ranAt: now,
+				buckets:  map[string]*quota.AccountBucket{"a": b}, ranAt: now.Add(row.idle),
 			}
-			now = now.Add(row.silent)
+			now = now.Add(row.idle + row.silent)
 			q.detectPause(now)
 			is.Equal(b.Spend(now, quota.Usage{Instance: "i", Sequence: 1, Requested: 5}).Granted, row.granted)
 			now = now.Add(coordinatorRetryInterval)
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -297,7 +297,7 @@
 		q.instance.options.Events.Log(event.InstancePaused,
 			event.F("paused_ms", paused.Milliseconds()), event.F("accounts", len(q.buckets)))
 		for _, b := range q.buckets {
-			b.Withhold(now, now.Add(coordinatorRetryInterval))
+			b.Withhold(now, q.ranAt, now.Add(coordinatorRetryInterval))
 		}
 	}
 	q.ranAt = now
