sidecar: Test when an instance spends its share without the coordinator

Whole instances, of which one can't reach any other, or whose coordinator is killed: the first one spends its initial share only, the others their shares of the rate at once, as a relay confirms the loss.

--- a/sidecar/fresh_coordinator_test.go
+++ b/sidecar/fresh_coordinator_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"amaranthstile/link"
+	"amaranthstile/sidecar"
 	"amaranthstile/ticket"
 )
 
@@ -206,3 +207,50 @@
 		is.Equal(coordinator.do(t, http.MethodGet, "/safe/x", "k"), http.StatusOK)
 	}
 }
+
+// servedWithout counts the requests of the account that one instance serves within a time after it has lost the coordinator.
+func servedWithout(t *testing.T, lose func(coordinator, entry *node, all []*node), d time.Duration) (served int) {
+	t.Helper()
+	_, nodes := startLimitedFleet(t, 4)
+	var coordinator, entry *node
+	for _, n := range nodes {
+		n.do(t, http.MethodGet, "/safe/x", "k")
+		if n.settings.Name == nodes[0].CoordinatorOf("a") {
+			coordinator = n
+		} else {
+			entry = n
+		}
+	}
+	lose(coordinator, entry, nodes)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if entry.do(t, http.MethodGet, "/safe/x", "k") == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// TestShareOfTheRateWaitsForAConfirmedLoss guards against an instance that is cut off alone and spends its share of the rate
+// while the coordinator hands out all of it to the others, and against one that refuses requests although another instance
+// has told that the coordinator is lost.
+func TestShareOfTheRateWaitsForAConfirmedLoss(t *testing.T) {
+	const took = 2500 * time.Millisecond
+	b := sidecar.DefaultBounds()
+	initial := (b.QuotaOverage*(limitedRate*b.QuotaWindow.Seconds()+limitedBurst) + b.QuotaSlack) / 4
+	t.Run("cut off alone", func(t *testing.T) {
+		served := servedWithout(t, func(_, entry *node, all []*node) {
+			for _, n := range all {
+				entry.network.partitioned.Store(n.settings.Control.String(), true)
+			}
+		}, took)
+		if float64(served) > initial {
+			t.Errorf("%d requests were served in %v, at most %.1f may be", served, took, initial)
+		}
+	})
+	t.Run("coordinator killed", func(t *testing.T) {
+		served := servedWithout(t, func(coordinator, _ *node, _ []*node) { coordinator.Kill() }, took)
+		if least := limitedRate * took.Seconds() / 4 / 2; float64(served) < least {
+			t.Errorf("%d requests were served in %v, at least %.1f have to be", served, took, least)
+		}
+	})
+}
