quota: Reserve tokens only for instances that call often

Cause: each instance that had called held one token of the account's bucket for up to 5 s. With 38 instances and a few requests a second, most were not used in time, while the burst was missing elsewhere.

Change: a token is reserved for an instance that reports within 1 s of its last report. Others ask first, which takes one round trip.

--- a/quota/reservation.go
+++ b/quota/reservation.go
@@ -7,6 +7,9 @@
 	reserveLevel = 0.3
 	// maxReserved bounds the tokens that are reserved for one instance.
 	maxReserved = 1
+	// reservationInterval is how soon after a report an instance must report again to get a reservation. One that calls less
+	// often would seldom use it in time, and the token would be missing elsewhere.
+	reservationInterval = reservationTTL / 3
 	// reservationTTL is how long after the last reply an instance may use its reservation.
 	reservationTTL = 3 * time.Second
 	// reservationExpiry is how long after the last call the coordinator takes the reservation back. It is longer than
@@ -16,11 +19,12 @@
 	reservationSweepInterval = time.Second
 )
 
-// reservation is what a coordinator has reserved of one account for one instance.
+// reservation is what a coordinator has reserved of one account for one instance that reported recently.
 type reservation struct {
-	tokens   int
-	sequence uint64 // of the latest report of the instance
-	renewed  time.Time
+	tokens     int
+	sequence   uint64    // of the latest report of the instance
+	reportedAt time.Time // the latest report
+	frequent   bool      // it followed the one before within reservationInterval
 }
 
 // reservations are the tokens of one account that instances may spend before they report it. The zero value is empty.
@@ -35,29 +39,27 @@
 // not used in time.
 func (r *reservations) settle(now time.Time, u Usage) (covered, returned int) {
 	x, ok := r.byInstance[u.Instance]
-	if !ok {
-		return 0, 0
-	}
+	x.frequent = ok && now.Sub(x.reportedAt) < reservationInterval
 	covered = min(x.tokens, u.Spent)
 	if u.Sequence > x.sequence {
 		returned = max(x.tokens-covered-u.Held, 0)
 		x.sequence = u.Sequence
 	}
 	x.tokens -= covered + returned
-	x.renewed = now
+	x.reportedAt = now
 	r.set(u.Instance, x)
 	return covered, returned
 }
 
 // reserve reserves tokens for an instance, of so many that are available, and returns how many.
-func (r *reservations) reserve(now time.Time, instance string, available int) int {
+func (r *reservations) reserve(instance string, available int) int {
 	x := r.byInstance[instance]
-	n := max(min(maxReserved-x.tokens, available), 0)
-	if n > 0 {
-		x.tokens += n
-		x.renewed = now
-		r.set(instance, x)
+	if !x.frequent {
+		return 0
 	}
+	n := max(min(maxReserved-x.tokens, available), 0)
+	x.tokens += n
+	r.set(instance, x)
 	return n
 }
 
@@ -68,21 +70,18 @@
 	}
 	r.sweptAt = now
 	for instance, x := range r.byInstance {
-		if now.Sub(x.renewed) >= reservationExpiry {
+		if now.Sub(x.reportedAt) >= reservationExpiry {
 			tokens += x.tokens
-			r.set(instance, reservation{})
+			r.total -= x.tokens
+			delete(r.byInstance, instance)
 		}
 	}
 	return tokens
 }
 
-// set replaces the reservation of an instance; one without tokens is dropped.
+// set replaces the reservation of an instance.
 func (r *reservations) set(instance string, x reservation) {
 	r.total += x.tokens - r.byInstance[instance].tokens
-	if x.tokens == 0 {
-		delete(r.byInstance, instance)
-		return
-	}
 	if r.byInstance == nil {
 		r.byInstance = make(map[string]reservation)
 	}
@@ -93,7 +92,9 @@
 func (r *reservations) tokens() map[string]int {
 	out := make(map[string]int, len(r.byInstance))
 	for instance, x := range r.byInstance {
-		out[instance] = x.tokens
+		if x.tokens > 0 {
+			out[instance] = x.tokens
+		}
 	}
 	return out
 }
@@ -103,7 +104,7 @@
 	for instance, n := range tokens {
 		x := r.byInstance[instance]
 		x.tokens += min(max(n, 0), maxReserved)
-		x.renewed = now
+		x.reportedAt = now
 		r.set(instance, x)
 	}
 }
