--- a/quota/doc.go
+++ b/quota/doc.go
@@ -16,7 +16,8 @@
 //     names for the account.
 //   - A LocalLimiter decides at another instance. It admits requests that the coordinator has reserved for it and reports
 //     them afterwards; without a reservation, it asks the coordinator first; while the coordinator can't be reached, it
-//     uses the instance's own share.
+//     uses the instance's own share: of what the limit allows beyond the bucket at once, and of the rate once another
+//     instance can't reach the coordinator either or the coordinator has had time to suspect this instance.
 //   - A Takeover tracks the move of accounts to a new coordinator. Until all instances have contacted the new
 //     coordinator, it hands out only the shares of those that have, since the others still use their own shares.
 package quota
