--- a/quota/account_bucket_test.go
+++ b/quota/account_bucket_test.go
@@ -28,26 +28,29 @@
 	state     BucketState
 }
 
-// request plays one request at instance n; latency is the round-trip time to the coordinator.
-func (s *limiterSimulation) request(now time.Time, n int, latency time.Duration) {
+// coordinatorLatency is the round-trip time to the coordinator.
+const coordinatorLatency = 4 * time.Millisecond
+
+// request plays one request at instance n.
+func (s *limiterSimulation) request(now time.Time, n int) {
 	s.deliver(now)
 	switch v, _ := s.limiters[n].Admit(now, true, FallbackShare{}); v {
 	case SpendNow:
 		s.admitted = append(s.admitted, now)
-		s.report(now, n, latency, Usage{Spent: 1})
+		s.report(now, n, Usage{Spent: 1})
 	case AskCoordinator:
-		if s.report(now, n, latency, Usage{Requested: 1}).Granted > 0 {
-			s.admitted = append(s.admitted, now.Add(latency))
+		if s.report(now, n, Usage{Requested: 1}).Granted > 0 {
+			s.admitted = append(s.admitted, now.Add(coordinatorLatency))
 		}
 	}
 }
 
 // report reports usage to the coordinator and returns its reply, which reaches the instance later.
-func (s *limiterSimulation) report(now time.Time, n int, latency time.Duration, u Usage) BucketState {
+func (s *limiterSimulation) report(now time.Time, n int, u Usage) BucketState {
 	s.sequence++
 	u.Instance, u.Sequence, u.Held = fmt.Sprint(n), s.sequence, s.limiters[n].Held(now)
-	state := s.bucket.Spend(now.Add(latency/2), u)
-	s.pendingReplies = append(s.pendingReplies, pendingReply{now.Add(latency), n, state})
+	state := s.bucket.Spend(now.Add(coordinatorLatency/2), u)
+	s.pendingReplies = append(s.pendingReplies, pendingReply{now.Add(coordinatorLatency), n, state})
 	return state
 }
 
@@ -97,7 +100,7 @@
 		s.bucket.SetLimits(now, allowedRate, allowedBurst)
 		for end := now.Add(20 * time.Second); now.Before(end); {
 			now = now.Add(time.Duration(random.ExpFloat64() / (rate * load) * float64(time.Second)))
-			s.request(now, random.IntN(n), 4*time.Millisecond)
+			s.request(now, random.IntN(n))
 		}
 		bound := (rate*w.Length.Seconds()+burst)*(1+w.Overage) + w.Slack
 		if got := s.maxAdmitted(w.Length); float64(got) > bound {
@@ -120,7 +123,7 @@
 		next := 0
 		sendAt := func(perSecond float64, length time.Duration) {
 			for end := now.Add(length); now.Before(end); next++ {
-				s.request(now, next%instances, 4*time.Millisecond)
+				s.request(now, next%instances)
 				now = now.Add(time.Duration(float64(time.Second) / perSecond))
 			}
 		}
@@ -166,11 +169,11 @@
 	asked, served := 0, 0
 	for range 50 {
 		for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(time.Second / 2) {
-			s.request(now, random.IntN(instances), 4*time.Millisecond)
+			s.request(now, random.IntN(instances))
 		}
 		before := len(s.admitted)
 		for range burst {
-			s.request(now, random.IntN(instances), 4*time.Millisecond)
+			s.request(now, random.IntN(instances))
 			asked++
 		}
 		served += len(s.admitted) - before
@@ -215,7 +218,7 @@
 	asked := 0
 	for end := now.Add(60 * time.Second); now.Before(end); asked++ {
 		now = now.Add(time.Duration(random.ExpFloat64() / (0.8 * rate) * float64(time.Second)))
-		s.request(now, random.IntN(38), 4*time.Millisecond)
+		s.request(now, random.IntN(38))
 	}
 	is.Equal(len(s.admitted), asked)
 }
