--- a/quota/account_bucket.go
+++ b/quota/account_bucket.go
@@ -166,7 +166,7 @@
 	b.level = max(b.level+float64(returned)-unreserved+b.withheld.cover(unreserved), -b.burst-maxDebt)
 	granted := min(u.Requested, int(max(b.level, 0)))
 	b.level -= float64(granted)
-	reserved := b.reservations.reserve(u.Instance, int(b.level-reserveLevel*b.burst))
+	reserved := b.reservations.reserve(now, u.Instance, int(b.level-reserveLevel*b.burst))
 	b.level -= float64(reserved)
 	b.spent += float64(u.Spent - covered + granted + reserved)
 	s := BucketState{Granted: granted, Reserved: reserved, Level: (b.level + float64(b.reservations.total)) / max(b.burst, 1)}
--- a/quota/reservation.go
+++ b/quota/reservation.go
@@ -7,9 +7,6 @@
 	reserveLevel = 0.3
 	// maxReserved bounds the tokens that are reserved for one instance.
 	maxReserved = 1
-	// reservationInterval is how soon after a report an instance must report again to get a reservation. One that calls less
-	// often would seldom use it in time, and the token would be missing elsewhere.
-	reservationInterval = reservationTTL / 3
 	// reservationTTL is how long after the last reply an instance may use its reservation.
 	reservationTTL = 3 * time.Second
 	// reservationExpiry is how long after the last call the coordinator takes the reservation back. It is longer than
@@ -19,12 +16,11 @@
 	reservationSweepInterval = time.Second
 )
 
-// reservation is what a coordinator has reserved of one account for one instance that reported recently.
+// reservation is what a coordinator has reserved of one account for one instance.
 type reservation struct {
-	tokens     int
-	sequence   uint64    // of the latest report of the instance
-	reportedAt time.Time // the latest report
-	frequent   bool      // it followed the one before within reservationInterval
+	tokens   int
+	sequence uint64 // of the latest report of the instance
+	renewed  time.Time
 }
 
 // reservations are the tokens of one account that instances may spend before they report it. The zero value is empty.
@@ -39,27 +35,29 @@
 // not used in time.
 func (r *reservations) settle(now time.Time, u Usage) (covered, returned int) {
 	x, ok := r.byInstance[u.Instance]
-	x.frequent = ok && now.Sub(x.reportedAt) < reservationInterval
+	if !ok {
+		return 0, 0
+	}
 	covered = min(x.tokens, u.Spent)
 	if u.Sequence > x.sequence {
 		returned = max(x.tokens-covered-u.Held, 0)
 		x.sequence = u.Sequence
 	}
 	x.tokens -= covered + returned
-	x.reportedAt = now
+	x.renewed = now
 	r.set(u.Instance, x)
 	return covered, returned
 }
 
 // reserve reserves tokens for an instance, of so many that are available, and returns how many.
-func (r *reservations) reserve(instance string, available int) int {
+func (r *reservations) reserve(now time.Time, instance string, available int) int {
 	x := r.byInstance[instance]
-	if !x.frequent {
-		return 0
-	}
 	n := max(min(maxReserved-x.tokens, available), 0)
-	x.tokens += n
-	r.set(instance, x)
+	if n > 0 {
+		x.tokens += n
+		x.renewed = now
+		r.set(instance, x)
+	}
 	return n
 }
 
@@ -70,18 +68,21 @@
 	}
 	r.sweptAt = now
 	for instance, x := range r.byInstance {
-		if now.Sub(x.reportedAt) >= reservationExpiry {
+		if now.Sub(x.renewed) >= reservationExpiry {
 			tokens += x.tokens
-			r.total -= x.tokens
-			delete(r.byInstance, instance)
+			r.set(instance, reservation{})
 		}
 	}
 	return tokens
 }
 
-// set replaces the reservation of an instance.
+// set replaces the reservation of an instance; one without tokens is dropped.
 func (r *reservations) set(instance string, x reservation) {
 	r.total += x.tokens - r.byInstance[instance].tokens
+	if x.tokens == 0 {
+		delete(r.byInstance, instance)
+		return
+	}
 	if r.byInstance == nil {
 		r.byInstance = make(map[string]reservation)
 	}
@@ -92,9 +93,7 @@
 func (r *reservations) tokens() map[string]int {
 	out := make(map[string]int, len(r.byInstance))
 	for instance, x := range r.byInstance {
-		if x.tokens > 0 {
-			out[instance] = x.tokens
-		}
+		out[instance] = x.tokens
 	}
 	return out
 }
@@ -104,7 +103,7 @@
 	for instance, n := range tokens {
 		x := r.byInstance[instance]
 		x.tokens += min(max(n, 0), maxReserved)
-		x.reportedAt = now
+		x.renewed = now
 		r.set(instance, x)
 	}
 }
