Review case 7: a planned stop drops the answer behind a long one

Cause: 2.5 s after SIGTERM, http.Server.Shutdown makes the server close a connection behind the response that is being written, also if its head did not say so. What the client had sent behind it was passed on, and its answer is dropped.

Change: a script with four clients that send two safe requests on a channel each. Nothing is fixed.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -18,6 +18,7 @@
 // disruption.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"6": keyRunsAfterMassLoss,
+	"7": closedBehindAStream,
 }
 
 func main() {
