Review case 8: a leaving endpoint gets work after a restart

Cause: a process that does not know the departures yet takes a backend server as present after two reports 1.5 heartbeat intervals apart, also if both are late.

Change: a script that kills the process beside an endpoint that has left, while the store turns the machine away and two earlier heartbeats arrive late. Nothing is fixed.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"6": keyRunsAfterMassLoss,
 	"7": closedBehindAStream,
+	"8": leavingEndpointGetsWork,
 }
 
 func main() {
