httpclient: Don't take a reset for the end of a response

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was written.

Cause: the kernel reports a reset once. If the write of the upload gets the report, the reads that follow return the bytes that arrived and then EOF, as after a regular close, which completes a response without a length. net/http closes the connection after a failed write, but its reads may come first.

Change: connections to servers are an httpclient.Conn, whose Read returns the failure of a write in place of EOF. A write that may have been told and has not returned is ended by a deadline and waited for. EPIPE does not count: it follows the regular end of what the server sent, or an error that a read has got. The connections between instances and those to the store are of the same kind.

--- a/link/conn.go
+++ b/link/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"amaranthstile/internal/httpclient"
 )
 
 // trackedConn is a client connection that counts the bytes written and is reserved by one exchange at a time.
@@ -46,7 +48,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: c}, nil
+		return &trackedConn{Conn: httpclient.NewConn(c)}, nil
 	}
 }
 
--- a/link/forward.go
+++ b/link/forward.go
@@ -37,10 +37,9 @@
 func NewForwarder(network Network, config *tls.Config) *Forwarder {
 	f := &Forwarder{
 		scheme:    "http",
-		transport: NewTransport(maxIdlePerInstance, idleConnTimeout),
+		transport: NewTransportWithNetwork(network, maxIdlePerInstance, idleConnTimeout),
 		paths:     newPathTracker(),
 	}
-	f.transport.DialContext = dialTracked(network)
 	if config != nil {
 		f.scheme = "https"
 		f.transport.TLSClientConfig = config
@@ -50,8 +49,13 @@
 
 // NewTransport returns an HTTP/1.1 transport that adds nothing to requests and does not change responses.
 func NewTransport(idlePerHost int, idleTimeout time.Duration) *http.Transport {
+	return NewTransportWithNetwork(SystemNetwork{}, idlePerHost, idleTimeout)
+}
+
+// NewTransportWithNetwork is like NewTransport, but dials through n.
+func NewTransportWithNetwork(n Network, idlePerHost int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialTracked(SystemNetwork{}),
+		DialContext:            dialTracked(n),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
--- a/store/http.go
+++ b/store/http.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/internal/httpclient"
 	"amaranthstile/result"
 )
 
@@ -63,7 +64,7 @@
 // dialTimeout to open a connection. It does not reuse a connection that ended with an error.
 func NewTransport(dialTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}).DialContext,
+		DialContext:            httpclient.Dial((&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}).DialContext),
 		TLSHandshakeTimeout:    dialTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		MaxIdleConnsPerHost:    maxIdleConns,
