httpclient: Check the status wherever a response is read

What callers saw: on other systems, an answer with the status 000 reached clients. Here the exit and entry sides refuse it already; TestResponseWithAnImpossibleStatusIsNoResponse passes on and stays as it is.

Cause: Go's HTTP client accepts any three characters that parse as a number as a status, and five other readers had no check. amaranthctl took the body of such an answer for a refusal of a ticket that may have been accepted; a write to the store counted as without effect; the question how long a server stays cold took the bound in it; the client of fleet could count it as complete.

Change: CheckStatus moves from link to httpclient as CheckHead, and these clients send through httpclient.Checked, which returns its error in place of the response. A write with such an answer has an unknown outcome, a read fails with platform-protocol.

Evidence: with Checked switched off, the new cases of TestSubmitStatuses, TestInvalidResponses (the two marked as not applied), TestBrokenAnswerOfTheStoreIsNone, TestBrokenHealthResponseReportsNothing and TestBrokenAnswerIsNotComplete fail; all pass with it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthstile/internal/bytebudget"
+	"amaranthstile/internal/httpclient"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -84,7 +85,7 @@
 	if resp.Header.Get(link.HeaderExchange) != exchangeID {
 		return result.WithRun(result.New(result.AnswerCrossed, "the response belongs to another exchange"), result.MayHaveRun)
 	}
-	return link.CheckStatus(resp)
+	return httpclient.CheckHead(resp)
 }
 
 // maxRefusalBytes bounds the JSON body of an error response of the exit side.
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -168,7 +168,7 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }()
 
-// olderExitAddress is the address of an exit side that passes on the status 600, as versions before CheckStatus did.
+// olderExitAddress is the address of an exit side that passes on the status 600, as versions that did not check it do.
 var olderExitAddress = netip.MustParseAddrPort(httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(link.HeaderOrigin, link.OriginBackend)
 	w.Header().Set(link.HeaderExchange, r.Header.Get(link.HeaderExchange))
--- a/exit/handler.go
+++ b/exit/handler.go
@@ -16,6 +16,7 @@
 
 	"amaranthstile/backend"
 	"amaranthstile/internal/bytebudget"
+	"amaranthstile/internal/httpclient"
 	"amaranthstile/link"
 	"amaranthstile/result"
 	"amaranthstile/ticket"
@@ -294,7 +295,7 @@
 	}
 	resp := e.Response
 	defer func() { _ = resp.Body.Close() }()
-	if err := link.CheckStatus(resp); err != nil {
+	if err := httpclient.CheckHead(resp); err != nil {
 		refuse(w, r, err) // the outcome is that of an exchange without a response
 		return
 	}
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthstile/internal/httpclient"
 	"amaranthstile/link"
 	"amaranthstile/result"
 )
@@ -28,7 +29,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(name, key string) *Client {
-	return &Client{Key: key, Name: name, client: &http.Client{Transport: link.NewTransport(clientIdleConns, clientIdleTimeout)}}
+	return &Client{Key: key, Name: name, client: &http.Client{Transport: httpclient.Checked(link.NewTransport(clientIdleConns, clientIdleTimeout))}}
 }
 
 const (
--- a/internal/httpclient/doc.go
+++ b/internal/httpclient/doc.go
@@ -1,3 +1,3 @@
 // Package httpclient makes up for what net/http's client accepts from a server that fails: a part of a response that looks
-// whole, because the connection was reset behind it.
+// whole, because the connection was reset behind it, and a response that is no HTTP.
 package httpclient
--- a/link/header.go
+++ b/link/header.go
@@ -8,8 +8,6 @@
 	"net/textproto"
 	"strconv"
 	"strings"
-
-	"amaranthstile/result"
 )
 
 // The headers that the instances exchange with each other, with clients and with backend servers. All of them start
@@ -138,23 +136,6 @@
 	return resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
 }
 
-// The statuses of final responses.
-const (
-	minFinalStatus = 200
-	maxFinalStatus = 599
-)
-
-// CheckStatus returns an error for a status that no final response can have: Go's HTTP client accepts any three characters that
-// parse as a number. Such a response says nothing about the request, so the error carries AnswerProtocol and MayHaveRun. A
-// switch of protocols (101) is not judged here.
-func CheckStatus(resp *http.Response) error {
-	s := resp.StatusCode
-	if s >= minFinalStatus && s <= maxFinalStatus || s == http.StatusSwitchingProtocols {
-		return nil
-	}
-	return result.WithRun(result.New(result.AnswerProtocol, "the response has the impossible status %03d", s), result.MayHaveRun)
-}
-
 // BodyLength returns the number of bytes in the body of a response, or -1 if it is not known before the end of the
 // body.
 func BodyLength(resp *http.Response) int64 {
--- a/operator/client.go
+++ b/operator/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"amaranthstile/instance"
+	"amaranthstile/internal/httpclient"
 	"amaranthstile/link"
 	"amaranthstile/result"
 	"amaranthstile/ticket"
@@ -157,5 +158,5 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Transport: httpclient.Checked(&http.Transport{DisableKeepAlives: true})}
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,10 +25,18 @@
 	"amaranthstile/ticket"
 )
 
-// answer is one scripted answer: a result code to refuse with, OK for a record, or connectionLost.
+// answer is one scripted answer: a result code to refuse with, OK for a record, or one of the constants.
 type answer result.Code
 
-const connectionLost answer = -1
+const (
+	connectionLost   answer = -1
+	impossibleStatus answer = -2 // and the body of a refusal
+)
+
+// rawAnswers are the bytes of answers that an HTTP server does not write.
+var rawAnswers = map[answer]string{
+	impossibleStatus: "HTTP/1.1 000 X\r\nConnection: close\r\n\r\n" + `{"code":2001,"message":"refused"}`,
+}
 
 // callCounter counts the calls of a scripted server. A handler that was aborted may still run when the next one begins.
 type callCounter struct {
@@ -56,7 +65,15 @@
 	calls = new(callCounter)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		a := answers[min(calls.next(), len(answers)-1)]
-		switch {
+		switch raw := rawAnswers[a]; {
+		case raw != "":
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, raw)
+			_ = c.Close()
 		case a == connectionLost:
 			panic(http.ErrAbortHandler)
 		case a == answer(result.OK):
@@ -100,6 +117,7 @@
 		"unknown, then accepted":     {[]answer{answer(result.TicketOutcomeUnknown), 0}, operator.StatusDone, 2},
 		"unknown, then refused":      {[]answer{answer(result.TicketOutcomeUnknown), answer(result.TicketOutdated)}, operator.StatusRefused, 2},
 		"answer lost, then away":     {[]answer{connectionLost, answer(result.PlatformUnavailable), answer(result.NotReady), 0}, operator.StatusDone, 4},
+		"impossible status":          {[]answer{impossibleStatus, 0}, operator.StatusDone, 2},
 		"unknown to the end":         {[]answer{answer(result.TicketOutcomeUnknown)}, operator.StatusUnknown, 7},
 		"lost, then away to the end": {[]answer{connectionLost, answer(result.PlatformUnavailable)}, operator.StatusUnknown, 7},
 	} {
--- a/store/fault_test.go
+++ b/store/fault_test.go
@@ -181,6 +181,18 @@
 			"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 80<<10) + "\r\nContent-Length: 0\r\n\r\n",
 			unavailable, unknown, unavailable,
 		},
+		"impossible status": {
+			"HTTP/1.1 000 X\r\nObject-Version: 3\r\nContent-Length: 2\r\n\r\n[]",
+			protocol, unknown, protocol,
+		},
+		"impossible status, marked as not applied": {
+			"HTTP/1.1 000 X\r\nObject-Not-Applied: 1\r\nContent-Length: 0\r\n\r\n",
+			protocol, unknown, protocol,
+		},
+		"impossible high status, marked as not applied": {
+			"HTTP/1.1 600 X\r\nObject-Not-Applied: 1\r\nContent-Length: 0\r\n\r\n",
+			protocol, unknown, protocol,
+		},
 		"redirect": {
 			"HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/objects/b\r\nContent-Length: 0\r\n\r\n",
 			protocol, unknown, protocol,
--- a/store/http.go
+++ b/store/http.go
@@ -90,7 +90,7 @@
 	if o.Transport == nil {
 		o.Transport = NewTransport(o.CallTimeout / 2)
 	}
-	return &HTTP{options: o, client: &http.Client{Transport: o.Transport, CheckRedirect: noRedirect}}
+	return &HTTP{options: o, client: &http.Client{Transport: httpclient.Checked(o.Transport), CheckRedirect: noRedirect}}
 }
 
 // noRedirect disables redirects, so that a write is never sent to another URL.
@@ -268,7 +268,7 @@
 
 func newTransportError(sent bool, err error, text string) error {
 	code := result.PlatformUnavailable
-	if result.Is(err, result.PlatformProtocol) {
+	if result.Is(err, result.PlatformProtocol) || result.Is(err, result.AnswerProtocol) {
 		code = result.PlatformProtocol
 	}
 	return &transportError{error: result.Wrap(code, err, "%s", text), sent: sent}
