httpclient: Treat a response with a malformed field name as no response

What callers saw: on other systems, a response in whose head the name of a field held a blank or a control byte reached the client, with that line passed on or with a body that was not the server's. Here, a line with a blank in its name was left out and the rest passed on; with "Content-Length : 5" or "Transfer-Encoding : chunked" in front of a close, the client got bytes behind the body, or the chunks with their sizes, as a whole 200.

Cause: net/http accepts blanks in field names, so that a field that frames the body goes unseen, and joins a line that begins with a blank to the value before it.

Change: httpclient.Conn checks the names in each head before net/http parses it, and in the informational responses before it, which the parsed head does not show. Parsed heads and trailers are checked too, for connections under TLS.

--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -84,6 +84,7 @@
 	}, code: result.AnswerProtocol, run: result.Ran},
 	{name: "impossible status", handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(999) }, code: result.AnswerProtocol, run: result.MayHaveRun},
 	{name: "impossible status from an older instance", setup: func(p *pipeline) { p.records["0"].Link = olderExitAddress }, code: result.AnswerProtocol, run: result.MayHaveRun},
+	{name: "malformed field name over the link", setup: func(p *pipeline) { p.records["0"].Link = malformedExitAddress }, code: result.LinkBroken, run: result.MayHaveRun},
 	{
 		name: "no end in HTTP/1.0", handler: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 200<<10)) },
 		raw: "GET /open HTTP/1.0\r\nHost: h\r\n\r\n", code: result.AnswerEndUnseen, run: result.Ran,
@@ -175,6 +176,17 @@
 	w.WriteHeader(600)
 })).Listener.Addr().String())
 
+// malformedExitAddress is the address of an exit side that passes on a head in which the name of a field has a blank.
+var malformedExitAddress = netip.MustParseAddrPort(httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
+		link.HeaderOrigin, link.OriginBackend, link.HeaderExchange, r.Header.Get(link.HeaderExchange))
+})).Listener.Addr().String())
+
 func TestEveryRefusalStatesTheRun(t *testing.T) {
 	seen := make(map[result.Code]bool)
 	for _, c := range refusals {
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,7 +26,8 @@
 	}
 }
 
-// Conn is a connection to a server whose Read returns io.EOF only if the server closed the connection.
+// Conn is a connection to a server over HTTP/1.1. Its Read returns io.EOF only if the server closed the connection, and an error
+// for a malformed field name in the head of a response that was announced by ExpectHead.
 //
 // The kernel reports a reset once, to the next read or write. If that is a write, the reads that follow return io.EOF, which
 // ends a response that has neither a length nor chunks.
@@ -34,10 +36,24 @@
 
 	mu       sync.Mutex // held during each write
 	writeErr error      // why the connection failed, if a write was told first
+
+	expectHead atomic.Bool // the next byte begins a head
+	head       headScanner // accessed only by Read
+	headErr    error       // accessed only by Read
 }
 
 // NewConn returns a Conn over c.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: headScanner{complete: true}} }
+
+// ExpectHead tells a connection that what is received next is the response to a request that is about to be written. It has an
+// effect on a Conn and on a type that embeds one, but not on a TLS connection over one.
+func ExpectHead(c net.Conn) {
+	if c, ok := c.(interface{ expectNextHead() }); ok {
+		c.expectNextHead()
+	}
+}
+
+func (c *Conn) expectNextHead() { c.expectHead.Store(true) }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -58,7 +74,16 @@
 
 // Read implements net.Conn. At the end of the connection, it ends a write that is in progress.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
 	n, err := c.Conn.Read(p)
+	if c.expectHead.Swap(false) {
+		c.head = headScanner{}
+	}
+	if n, c.headErr = c.head.scan(p[:n]); c.headErr != nil {
+		return n, c.headErr
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/link/conn.go
+++ b/link/conn.go
@@ -19,7 +19,7 @@
 // waits in acquire until the previous exchange has released it, and finds the connection closed if the previous
 // exchange did not end cleanly.
 type trackedConn struct {
-	net.Conn
+	*httpclient.Conn
 	exchangeMu sync.Mutex // held by the exchange that has the connection reserved
 
 	mu            sync.Mutex // held during each write
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"amaranthstile/internal/httpclient"
 )
 
 // Exchange is one request that was sent once, and the head of its response. Response.Body must be closed. Closing
@@ -61,6 +63,7 @@
 		t.bytesSent = true
 	}
 	t.reservation = c.acquire(t.delayHeadEnd)
+	httpclient.ExpectHead(info.Conn)
 	t.reused = info.Reused
 	t.attempts++
 	if t.bytesSent {
@@ -123,18 +126,24 @@
 	t.reservation.discard()
 }
 
-// responseBody is a response body that notifies the tracker when it is read to its end and when it is closed.
+// responseBody is a response body that notifies the tracker when it is read to its end and when it is closed. It ends with an
+// error if the trailer of the response is malformed.
 type responseBody struct {
 	io.ReadCloser
-	tracker *tracker
+	response *http.Response
+	tracker  *tracker
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.tracker.markBodyRead()
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := httpclient.CheckTrailer(b.response); err != nil {
+		return n, err
 	}
+	b.tracker.markBodyRead()
 	return n, err
 }
 
@@ -201,7 +210,7 @@
 	if resp.Body == http.NoBody {
 		connTracker.markBodyRead()
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, tracker: connTracker}
+	resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, tracker: connTracker}
 	return &Exchange{Response: resp, tracker: connTracker}, true, connTracker.reused, nil
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -158,5 +159,8 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return &http.Client{Transport: httpclient.Checked(&http.Transport{DisableKeepAlives: true})}
+	return &http.Client{Transport: httpclient.Checked(&http.Transport{
+		DialContext:       httpclient.Dial((&net.Dialer{}).DialContext),
+		DisableKeepAlives: true,
+	})}
 }
--- a/store/fault_test.go
+++ b/store/fault_test.go
@@ -193,6 +193,14 @@
 			"HTTP/1.1 600 X\r\nObject-Not-Applied: 1\r\nContent-Length: 0\r\n\r\n",
 			protocol, unknown, protocol,
 		},
+		"blank in the name of a field": {
+			"HTTP/1.1 200 OK\r\nObject-Version: 3\r\nX A: b\r\nContent-Length: 2\r\n\r\n[]",
+			unavailable, unknown, unavailable,
+		},
+		"blank before the name of a field, marked as not applied": {
+			"HTTP/1.1 503 X\r\nObject-Not-Applied: 1\r\n X-A: b\r\nContent-Length: 0\r\n\r\n",
+			unavailable, unknown, unavailable,
+		},
 		"redirect": {
 			"HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/objects/b\r\nContent-Length: 0\r\n\r\n",
 			protocol, unknown, protocol,
