rawserver: Share the raw servers of the tests of broken responses

Change: internal/rawserver has it once. TestResponseThatIsResetDuringAnUploadIsNotWhole has three more cases, in which the upload is stuck: the response ends with its connection, with its length and with its last chunk.

--- a/exit/reset_test.go
+++ b/exit/reset_test.go
@@ -1,13 +1,11 @@
 package exit_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +15,7 @@
 
 	"amaranthstile/backend"
 	"amaranthstile/exit"
+	"amaranthstile/internal/rawserver"
 	"amaranthstile/internal/resetconn"
 	"amaranthstile/link"
 	"amaranthstile/membership"
@@ -31,57 +30,37 @@
 	return resetconn.Dial(n.SystemNetwork.DialContext)(ctx, network, address)
 }
 
-// startEarlyServer starts a backend server that answers the first request after its head, and resets the connection.
-// With closeFirst, it ends what it sends before.
-func startEarlyServer(t *testing.T, response string, closeFirst bool) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, response)
-		if closeFirst {
-			_ = c.(*net.TCPConn).CloseWrite()
-		}
-		_ = c.(*net.TCPConn).SetLinger(0)
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 // TestResponseThatIsResetDuringAnUploadIsNotWhole lets a backend server answer a long upload at once and reset the connection,
 // and the write of the upload learn of the reset first.
 func TestResponseThatIsResetDuringAnUploadIsNotWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n\r\n"
 	long := strings.Repeat("x", 200<<10)
+	const withLength = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+	resetFirst, system := resetNetwork{}, link.SystemNetwork{}
 	for name, c := range map[string]struct {
-		response   string
-		closeFirst bool
-		body       string // "" if the response is broken
-		outcome    backend.Outcome
+		network  link.Network
+		response string
+		end      func(*net.TCPConn)
+		body     string // "" if the response is broken
+		outcome  backend.Outcome
 	}{
-		"part":                 {head + "part", false, "", backend.OutcomeTruncated},
-		"long part":            {head + long, false, "", backend.OutcomeTruncated},
-		"head":                 {head, false, "", backend.OutcomeTruncated},
-		"part of chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false, "", backend.OutcomeTruncated},
-		"whole with a length":  {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, "hello", backend.OutcomeAnswered},
-		"whole in chunks":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false, "hello", backend.OutcomeAnswered},
-		"whole before a reset": {head + "hello", true, "hello", backend.OutcomeAnswered},
+		"part":                        {resetFirst, head + "part", rawserver.Reset, "", backend.OutcomeTruncated},
+		"long part":                   {resetFirst, head + long, rawserver.Reset, "", backend.OutcomeTruncated},
+		"head":                        {resetFirst, head, rawserver.Reset, "", backend.OutcomeTruncated},
+		"part of chunks":              {resetFirst, chunks, rawserver.Reset, "", backend.OutcomeTruncated},
+		"whole with a length":         {resetFirst, withLength, rawserver.Reset, "hello", backend.OutcomeAnswered},
+		"whole in chunks":             {resetFirst, chunks + "0\r\n\r\n", rawserver.Reset, "hello", backend.OutcomeAnswered},
+		"whole before a reset":        {resetFirst, head + "hello", rawserver.CloseAndReset, "hello", backend.OutcomeAnswered},
+		"whole, upload stuck":         {system, head + long, rawserver.CloseWrite, long, backend.OutcomeAnswered},
+		"with a length, upload stuck": {system, withLength, rawserver.Keep, "hello", backend.OutcomeAnswered},
+		"in chunks, upload stuck":     {system, chunks + "0\r\n\r\n", rawserver.Keep, "hello", backend.OutcomeAnswered},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a := backend.Announcement{ID: "b", Service: "s", Address: startEarlyServer(t, c.response, c.closeFirst), Slots: 3, State: membership.Active}
+			a := backend.Announcement{ID: "b", Service: "s", Address: rawserver.Start(t, c.response, c.end), Slots: 3, State: membership.Active}
 			set := backend.UpstreamSet{}.WithServers([]backend.Server{{Announcement: a}}, func() *http.Transport {
-				return link.NewTransportWithNetwork(resetNetwork{}, 1, time.Minute)
+				return link.NewTransportWithNetwork(c.network, 1, time.Minute)
 			})
 			seen := &exchangeRecorder{ended: make(chan struct{})}
 			s := httptest.NewServer(exit.New(exit.Options{
--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -1,7 +1,6 @@
 package httpclient_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -14,46 +13,10 @@
 	"github.com/matryer/is"
 
 	"amaranthstile/internal/httpclient"
+	"amaranthstile/internal/rawserver"
 	"amaranthstile/internal/resetconn"
 )
 
-// startEarlyServer starts a server that answers each request after its head, and ends the connection with end.
-func startEarlyServer(t *testing.T, response string, end func(*net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-				_ = c.Close()
-				continue
-			}
-			_, _ = io.WriteString(c, response)
-			end(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
-}
-
-// reset resets a connection.
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
-// endAndReset ends what the server sends before it resets the connection.
-func endAndReset(c *net.TCPConn) {
-	_ = c.CloseWrite()
-	reset(c)
-}
-
 // endlessUpload is a request body that blocks no read.
 type endlessUpload struct{}
 
@@ -88,19 +51,19 @@
 		end      func(*net.TCPConn)
 		body     string // "" if the response is broken
 	}{
-		"reset":                        {resetFirst, head + "part", reset, ""},
-		"reset behind the head":        {resetFirst, head, reset, ""},
-		"reset in trailers":            {resetFirst, chunked, reset, ""},
-		"reset behind a length":        {resetFirst, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", reset, "whole"},
-		"reset behind the last chunk":  {resetFirst, chunked + "\r\n", reset, "whole"},
-		"reset behind the end":         {resetFirst, head + "whole", endAndReset, "whole"},
-		"end, and the upload is stuck": {system, head + "whole", func(c *net.TCPConn) { _ = c.CloseWrite() }, "whole"},
+		"reset":                        {resetFirst, head + "part", rawserver.Reset, ""},
+		"reset behind the head":        {resetFirst, head, rawserver.Reset, ""},
+		"reset in trailers":            {resetFirst, chunked, rawserver.Reset, ""},
+		"reset behind a length":        {resetFirst, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", rawserver.Reset, "whole"},
+		"reset behind the last chunk":  {resetFirst, chunked + "\r\n", rawserver.Reset, "whole"},
+		"reset behind the end":         {resetFirst, head + "whole", rawserver.CloseAndReset, "whole"},
+		"end, and the upload is stuck": {system, head + "whole", rawserver.CloseWrite, "whole"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			body, err := get(ctx, httpclient.Dial(c.dial), startEarlyServer(t, c.response, c.end))
+			body, err := get(ctx, httpclient.Dial(c.dial), rawserver.Start(t, c.response, c.end).String())
 			is.NoErr(ctx.Err())
 			is.Equal(err != nil, c.body == "")
 			if err == nil {
