--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -17,7 +17,7 @@
 	"amaranthstile/internal/resetconn"
 )
 
-// endlessUpload is a request body that blocks no read.
+// endlessUpload is a request body without an end.
 type endlessUpload struct{}
 
 // Read implements io.Reader.
