freshness: Read the store where no recent reading of it is known

Cause: who reads the store and whom it tells is dealt over the listed members, which is right only seconds after a loss. An instance could not tell that it was not told. Ruled out: that nobody read the store (two did), that it was told and could not fetch (behind_ms is 14).

Change: an instance that reads the store in its turn spreads the reading to all others, over random instances along a tree by failure domain. Each instance knows the time of the latest reading, and reads by itself when that is older than 0.4 of the deadline, whatever its view of the others says. A reading carries the reader's time of day, so that an instance that was frozen passes on no old one as new, and the version in force there, which must be in force before the reading counts. Instances of earlier versions are sent none.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -54,6 +54,9 @@
 	// OnNewerRevision, if set, is called when another instance has a later ticket revision. It runs in the owner and must not
 	// block.
 	OnNewerRevision func(membership.NewerRevision)
+	// OnReading, if set, is called with each reading of the store that another instance made, and returns where it is
+	// passed on to. It runs in the owner and must not block.
+	OnReading func(r membership.Reading, suspected map[membership.ID]bool) []membership.ReadingTo
 	// OnDirectoryChange, if set, is called after Directory has changed. It runs in the owner and must not block.
 	OnDirectoryChange func()
 }
@@ -137,6 +140,11 @@
 	m.Owner.DoAsync(func() { m.execute(m.state.SetRevision(time.Now(), revision)) })
 }
 
+// SendReadings sends the readings that plan returns for the suspected instances. It does not wait for the owner.
+func (m *Members) SendReadings(plan func(suspected map[membership.ID]bool) []membership.ReadingTo) {
+	m.Owner.DoAsync(func() { m.execute(m.state.SendReadings(time.Now(), plan(m.state.Suspected()))) })
+}
+
 // Join sets the addresses that are contacted while no other instance is known.
 func (m *Members) Join(contacts []netip.AddrPort) { m.Owner.Do(func() { m.state.Join(contacts) }) }
 
@@ -214,6 +222,10 @@
 			if m.OnNewerRevision != nil {
 				m.OnNewerRevision(a)
 			}
+		case membership.ReadingReceived:
+			if m.OnReading != nil {
+				m.execute(m.state.SendReadings(time.Now(), m.OnReading(a.Reading, m.state.Suspected())))
+			}
 		default:
 			m.logAction(a)
 		}
--- a/link/control.go
+++ b/link/control.go
@@ -22,11 +22,12 @@
 
 // The range of control protocol versions that this program supports. Each side sends its range in the first call;
 // the connection is closed if the ranges do not overlap. From ProtocolRepeatedReports on, a coordinator of client accounts
-// counts a report once however often it arrives.
+// counts a report once however often it arrives; from ProtocolReadings on, an instance passes on readings of the store.
 const (
-	ProtocolNewest          = 2
+	ProtocolNewest          = 3
 	ProtocolOldest          = 1
 	ProtocolRepeatedReports = 2
+	ProtocolReadings        = 3
 )
 
 // methodHello is the first call on every connection.
--- a/membership/action.go
+++ b/membership/action.go
@@ -46,6 +46,9 @@
 	Revision uint64
 }
 
+// ReadingReceived reports a reading of the store by another instance.
+type ReadingReceived struct{ Reading Reading }
+
 func (Send) action()             {}
 func (SyncWith) action()         {}
 func (DirectoryChanged) action() {}
@@ -55,6 +58,7 @@
 func (Refuted) action()          {}
 func (AddressConflict) action()  {}
 func (NewerRevision) action()    {}
+func (ReadingReceived) action()  {}
 
 // Stats holds the counters and gauges of a State. BytesSent includes the UDP and IP headers.
 type Stats struct {
@@ -74,6 +78,8 @@
 	Failed         uint64 `json:"failed"`
 	WrongTarget    uint64 `json:"wrongTarget"`
 	AnswersDropped uint64 `json:"answersDropped"`
-	RecordsRefused uint64 `json:"recordsRefused"`
-	LateTicks      uint64 `json:"lateTicks"`
+	// ReadingsDropped counts readings of the store that were over budget.
+	ReadingsDropped uint64 `json:"readingsDropped"`
+	RecordsRefused  uint64 `json:"recordsRefused"`
+	LateTicks       uint64 `json:"lateTicks"`
 }
--- a/membership/config.go
+++ b/membership/config.go
@@ -56,6 +56,10 @@
 	// AckRate and AckBurst limit the bytes spent on acknowledgements of probes, per second and at once.
 	AckRate  float64
 	AckBurst float64
+	// ReadingRate and ReadingBurst limit the bytes spent on readings of the store, per second and at once. Readings over
+	// budget are not sent; the instances that miss them read the store themselves.
+	ReadingRate  float64
+	ReadingBurst float64
 	// PullTimeout is how long to wait for a requested record before another member is asked.
 	PullTimeout time.Duration
 	// SyncInterval is the mean time between synchronizations with a random member. A shorter interval repairs sooner
@@ -105,6 +109,8 @@
 		UrgentSelfUpdateInterval: 200 * time.Millisecond,
 		AckRate:                  2048,
 		AckBurst:                 16 << 10,
+		ReadingRate:              2048,
+		ReadingBurst:             16 << 10,
 		PullTimeout:              500 * time.Millisecond,
 		SyncInterval:             30 * time.Second,
 		EarlySyncInterval:        500 * time.Millisecond,
@@ -133,6 +139,8 @@
 	// maxSyncRecords limits the records in one call of a synchronization.
 	maxSyncRecords = 256
 	// maxPendingPulls limits the records requested at a time, maxRelayedProbes the probes made for other instances.
+	// maxReadingMillis is the latest time of a reading, in Unix milliseconds.
+	maxReadingMillis = 1 << 48
 	maxPendingPulls  = 512
 	maxRelayedProbes = 64
 )
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -83,6 +84,9 @@
 	records   map[ID]*Record
 	instances map[string]int // number of records, by failure domain
 	services  [directoryShards]map[string][]Candidate
+	// byDomain is built when it is first used; see InstancesByDomain.
+	byDomain     map[string][]*Record
+	byDomainOnce sync.Once
 }
 
 // NewDirectory builds a view. The records must not be modified afterwards.
@@ -201,6 +205,21 @@
 // CountInstances returns the number of instances in a failure domain.
 func (d *Directory) CountInstances(domain string) int { return d.instances[domain] }
 
+// InstancesByDomain returns the records of the instances in each failure domain, sorted by ID. The caller must not modify
+// them.
+func (d *Directory) InstancesByDomain() map[string][]*Record {
+	d.byDomainOnce.Do(func() {
+		d.byDomain = make(map[string][]*Record, len(d.instances))
+		for _, r := range d.records {
+			d.byDomain[r.Domain] = append(d.byDomain[r.Domain], r)
+		}
+		for _, list := range d.byDomain {
+			slices.SortFunc(list, func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+		}
+	})
+	return d.byDomain
+}
+
 // Records returns the records of all instances by ID. The caller must not modify the map.
 func (d *Directory) Records() map[ID]*Record { return d.records }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -29,6 +29,9 @@
 	kindRecords
 	// kindTooLarge answers a pull of a record that is too large for a datagram; the requester synchronizes instead.
 	kindTooLarge
+	// kindReading carries a reading of the store: its time of day in Seq, in Unix milliseconds, and the range of IDs to
+	// pass it on to in Want. Only instances whose record names a protocol version with readings get it.
+	kindReading
 )
 
 // status is the state of a member in an update.
@@ -109,7 +112,7 @@
 
 // validate checks the limits of a decoded message.
 func (m *Message) validate() error {
-	if m.Kind < kindPing || m.Kind > kindTooLarge {
+	if m.Kind < kindPing || m.Kind > kindReading {
 		return result.New(result.MessageInvalid, "unknown message kind %d", m.Kind)
 	}
 	if !validID(m.From) || len(m.Target) > maxIDBytes {
@@ -118,9 +121,18 @@
 	if len(m.Want) > maxUpdates || len(m.Updates) > maxUpdates {
 		return result.New(result.MessageInvalid, "message has too many updates or requested records")
 	}
+	if m.Kind == kindReading && !validReading(m) {
+		return result.New(result.MessageInvalid, "reading with a range of %d IDs at %d ms", len(m.Want), m.Seq)
+	}
 	return checkUpdates(m.Updates)
 }
 
+// validReading checks the range and the time of a reading.
+func validReading(m *Message) bool {
+	inRange := len(m.Want) == 0 || len(m.Want) == 2 && validID(m.Want[0]) && validID(m.Want[1])
+	return inRange && m.Seq <= maxReadingMillis
+}
+
 // checkUpdates checks the IDs and the status of updates.
 func checkUpdates(updates []memberUpdate) error {
 	for _, u := range updates {
--- a/membership/message_test.go
+++ b/membership/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -73,22 +74,25 @@
 	long := ID(strings.Repeat("x", maxIDBytes+1))
 	nested := append(bytes.Repeat([]byte{0x81}, 200), 0x01)
 	return map[string][]byte{
-		"empty":                nil,
-		"not CBOR":             []byte("hello"),
-		"nested":               nested,
-		"a huge array":         {0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
-		"a huge string":        {0x8a, 1, 1, 0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
-		"indefinite length":    {0x9f, 1, 1, 0xff},
-		"too long":             make([]byte, maxDatagramBytes+1),
-		"no sender":            encode(Message{Protocol: 1, Kind: kindPing}),
-		"a long sender":        encode(Message{Protocol: 1, Kind: kindPing, From: long}),
-		"no kind":              encode(Message{Protocol: 1, From: "a"}),
-		"an unknown kind":      encode(Message{Protocol: 1, Kind: 99, From: "a"}),
-		"an unknown status":    encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: []memberUpdate{{ID: "b", Status: 9}}}),
-		"update without an ID": encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: []memberUpdate{{Status: 1}}}),
-		"too many updates":     encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: make([]memberUpdate, maxUpdates+1)}),
-		"protocol 0":           encode(Message{Protocol: 0, Kind: kindPing, From: "a"}),
-		"protocol 200":         encode(Message{Protocol: 200, Kind: kindPing, From: "a"}),
+		"empty":                    nil,
+		"not CBOR":                 []byte("hello"),
+		"nested":                   nested,
+		"a huge array":             {0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"a huge string":            {0x8a, 1, 1, 0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"indefinite length":        {0x9f, 1, 1, 0xff},
+		"too long":                 make([]byte, maxDatagramBytes+1),
+		"no sender":                encode(Message{Protocol: 1, Kind: kindPing}),
+		"a long sender":            encode(Message{Protocol: 1, Kind: kindPing, From: long}),
+		"no kind":                  encode(Message{Protocol: 1, From: "a"}),
+		"an unknown kind":          encode(Message{Protocol: 1, Kind: 99, From: "a"}),
+		"an unknown status":        encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: []memberUpdate{{ID: "b", Status: 9}}}),
+		"update without an ID":     encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: []memberUpdate{{Status: 1}}}),
+		"too many updates":         encode(Message{Protocol: 1, Kind: kindGossip, From: "a", Updates: make([]memberUpdate, maxUpdates+1)}),
+		"reading without an end":   encode(Message{Protocol: 1, Kind: kindReading, From: "a", Want: []ID{"a"}}),
+		"reading with a bad range": encode(Message{Protocol: 1, Kind: kindReading, From: "a", Want: []ID{"a", long}}),
+		"reading of a far time":    encode(Message{Protocol: 1, Kind: kindReading, From: "a", Seq: math.MaxUint64}),
+		"protocol 0":               encode(Message{Protocol: 0, Kind: kindPing, From: "a"}),
+		"protocol 200":             encode(Message{Protocol: 200, Kind: kindPing, From: "a"}),
 	}
 }
 
@@ -111,7 +115,7 @@
 		f.Add(data)
 	}
 	raw, _ := encodeRecord(testRecord("b", 3))
-	for k := kindPing; k <= kindTooLarge; k++ {
+	for k := kindPing; k <= kindReading; k++ {
 		m := Message{
 			Protocol: 1, Kind: k, From: "b", Seq: 1, Target: "id-0000", Address: []byte{10, 0, 0, 1, 1, 1},
 			Updates: []memberUpdate{{ID: "id-0000", Status: statusFailed, Incarnation: 7}, {ID: "c", Status: statusSuspect, Version: 2}},
--- a/membership/state.go
+++ b/membership/state.go
@@ -68,6 +68,7 @@
 	revisionSends int
 	gossipBudget  tokenBucket
 	ackBudget     tokenBucket
+	readingBudget tokenBucket
 
 	directory      *Directory
 	pendingChanges map[ID]*Record
@@ -107,7 +108,10 @@
 		gossipBudget: tokenBucket{
 			rate: o.Config.GossipRate, burst: o.Config.GossipBurst, level: o.Config.GossipBurst, updatedAt: o.Now,
 		},
-		ackBudget:      tokenBucket{rate: o.Config.AckRate, burst: o.Config.AckBurst, level: o.Config.AckBurst, updatedAt: o.Now},
+		ackBudget: tokenBucket{rate: o.Config.AckRate, burst: o.Config.AckBurst, level: o.Config.AckBurst, updatedAt: o.Now},
+		readingBudget: tokenBucket{
+			rate: o.Config.ReadingRate, burst: o.Config.ReadingBurst, level: o.Config.ReadingBurst, updatedAt: o.Now,
+		},
 		pendingChanges: make(map[ID]*Record),
 	}
 	s.incarnation = 1
@@ -196,6 +200,8 @@
 		s.receivePull(now, from, m)
 	case kindRecords:
 		s.receiveRecords(now, m.Records)
+	case kindReading:
+		s.receiveReading(m)
 	case kindTooLarge:
 		s.emit(SyncWith{ID: m.From, Address: from})
 	}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -108,11 +108,12 @@
 	// cancelWatch cancels the watch call in flight.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	bounds      func() Bounds
+	readings    *readings
 	storeCounters
 }
 
 // storeCounters counts the calls to the store, and the responses that held an older configuration than the one in force.
-type storeCounters struct{ reads, watches, failures, olderReads atomic.Uint64 }
+type storeCounters struct{ reads, watches, failures, olderReads, overdueReads atomic.Uint64 }
 
 func newConfigurationManager(
 	o Options, bounds func() Bounds, m *gossip.Members, calls *link.ControlClient, self membership.Record, g *generations,
@@ -123,6 +124,7 @@
 		contacts: make(chan []netip.AddrPort, 1), newerRevisions: make(chan membership.NewerRevision, 1),
 	}
 	m.OnNewerRevision = c.onNewerRevision
+	c.readings = newReadings(m, self, c.version)
 	return c
 }
 
@@ -191,6 +193,7 @@
 	active.view.Revision = next.Version
 	c.current.Store(active)
 	c.members.SetRevision(next.Version)
+	c.readings.versionInForce(next.Version)
 	fields := []event.Field{
 		event.F("version", next.Version), event.F("before", before.Version), event.F("from", source),
 		event.F("routes", len(next.Routes)), event.F("accounts", len(next.Accounts)),
@@ -273,6 +276,7 @@
 	c.recordStored(version, inForce)
 	c.advancePosition(s.Position)
 	c.confirmStored(requestedAt)
+	c.readings.succeeded(requestedAt)
 	return true
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -34,6 +34,10 @@
 		return httpserver.BoolToFloat(c.storeUnavailable.Load())
 	})
 	gauge("store_reads_total", "Configurations read from the store.", func() float64 { return float64(c.reads.Load()) })
+	gauge("store_overdue_reads_total", "Configurations read from the store because no recent reading was known.", count(&c.overdueReads))
+	gauge("store_reading_age_seconds", "Seconds since the latest reading of the store that this instance knows of, by any instance.", func() float64 {
+		return time.Since(c.readings.last()).Seconds()
+	})
 	gauge("store_waits_total", "Waits at the store for a configuration.", func() float64 { return float64(c.watches.Load()) })
 	gauge("store_failed_total", "Calls of the store that failed.", func() float64 { return float64(c.failures.Load()) })
 	gauge("store_older_total", "Responses of the store with an older configuration than the one in force here.", func() float64 {
--- a/sidecar/polling.go
+++ b/sidecar/polling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -25,8 +26,9 @@
 }
 
 // pollerOf returns the instance that reads the store in a turn. The turns follow the clock and fall to all instances
-// alike, so that the fleet reads the store at the same rate whatever its size and whichever instances end. Instances with
-// the same view agree on it; one that suspects the chosen instance reads in its place.
+// alike, so that the fleet reads the store at the same rate whatever its size. Instances with the same view agree on it;
+// one that suspects the chosen instance reads in its place. A turn passes without a reading if the chosen instance has
+// ended and nobody suspects it yet; see keepFresh.
 func pollerOf(d *membership.Directory, turn int64, suspected map[membership.ID]bool) membership.ID {
 	return d.SelectInstance("poll\x00"+strconv.FormatInt(turn, 10), suspected)
 }
@@ -47,10 +49,34 @@
 	}
 }
 
-// poll reads the store once. If that brings a change, the watches have missed it, and this instance's own begins anew.
+// keepFresh reads the store whenever this instance knows of no recent reading, until ctx ends. That is so if most others
+// have ended, if this instance is cut off from them, or if none of them knows of it.
+func (c *configurationManager) keepFresh(ctx context.Context) {
+	for ctx.Err() == nil && c.version() == 0 {
+		wait.Sleep(ctx, roleCheckInterval)
+	}
+	c.readings.begin()
+	for ctx.Err() == nil {
+		deadline := c.bounds().ConfigDeadline
+		// without the random part, instances that miss the same reading would all read at the same moment
+		wait.Sleep(ctx, time.Until(c.readings.overdueAt(deadline))+rand.N(turnLength(deadline)))
+		if ctx.Err() == nil && !time.Now().Before(c.readings.overdueAt(deadline)) {
+			c.overdueReads.Add(1)
+			c.poll(ctx)
+		}
+	}
+}
+
+// poll reads the store once and spreads the reading. If it brings a change, the watches have missed it, and this
+// instance's own begins anew.
 func (c *configurationManager) poll(ctx context.Context) {
-	before := c.version()
-	if c.readStore(ctx) && c.version() > before {
+	before, requestedAt := c.version(), time.Now()
+	if !c.readStore(ctx) {
+		c.readings.failed(c.bounds().ConfigDeadline)
+		return
+	}
+	c.readings.spread(requestedAt)
+	if c.version() > before {
 		c.event.Log(event.WatchSilent, event.F("version", c.version()), event.F("before", before))
 		c.restartWatch()
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -268,6 +268,7 @@
 	i.running.Go(func() { i.configuration.run(ctx) })
 	i.running.Go(func() { i.configuration.followPeers(ctx) })
 	i.running.Go(func() { i.configuration.pollStore(ctx) })
+	i.running.Go(func() { i.configuration.keepFresh(ctx) })
 	i.running.Go(func() { i.configuration.keepConfirmed(ctx) })
 	i.running.Go(func() { i.evacuations.watch(ctx) })
 	i.running.Go(func() { i.evacuations.poll(ctx) })
