evacuations: Read the store where no recent reading of it is known

What callers would have seen: requests that reach an evacuated failure domain past the bound. No deployment showed it; it was found by reading, as the configuration had the same fault.

Cause: an instance took the response of a partner for a sign that it was told of evacuations, and read the store only if two partners failed. A partner that responds may not have been told either, as the watchers and turns are dealt over the listed members, which may have ended.

Change: readings of the evacuations are spread like those of the configuration, with a hash of what the reader knows. Exchanges with partners go on for instances that reach no store.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -56,7 +56,7 @@
 	OnNewerRevision func(membership.NewerRevision)
 	// OnReading, if set, is called with each reading of the store that another instance made, and returns where it is
 	// passed on to. It runs in the owner and must not block.
-	OnReading func(r membership.Reading, suspected map[membership.ID]bool) []membership.ReadingTo
+	OnReading func(r membership.ReadingReceived, suspected map[membership.ID]bool) []membership.ReadingTo
 	// OnDirectoryChange, if set, is called after Directory has changed. It runs in the owner and must not block.
 	OnDirectoryChange func()
 }
@@ -224,7 +224,7 @@
 			}
 		case membership.ReadingReceived:
 			if m.OnReading != nil {
-				m.execute(m.state.SendReadings(time.Now(), m.OnReading(a.Reading, m.state.Suspected())))
+				m.execute(m.state.SendReadings(time.Now(), m.OnReading(a, m.state.Suspected())))
 			}
 		default:
 			m.logAction(a)
--- a/membership/action.go
+++ b/membership/action.go
@@ -46,8 +46,11 @@
 	Revision uint64
 }
 
-// ReadingReceived reports a reading of the store by another instance.
-type ReadingReceived struct{ Reading Reading }
+// ReadingReceived reports a reading of the store by another instance, with the control address of the one that sent it.
+type ReadingReceived struct {
+	Sender  netip.AddrPort
+	Reading Reading
+}
 
 func (Send) action()             {}
 func (SyncWith) action()         {}
@@ -78,8 +81,6 @@
 	Failed         uint64 `json:"failed"`
 	WrongTarget    uint64 `json:"wrongTarget"`
 	AnswersDropped uint64 `json:"answersDropped"`
-	// ReadingsDropped counts readings of the store that were over budget.
-	ReadingsDropped uint64 `json:"readingsDropped"`
-	RecordsRefused  uint64 `json:"recordsRefused"`
-	LateTicks       uint64 `json:"lateTicks"`
+	RecordsRefused uint64 `json:"recordsRefused"`
+	LateTicks      uint64 `json:"lateTicks"`
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -29,8 +29,8 @@
 	kindRecords
 	// kindTooLarge answers a pull of a record that is too large for a datagram; the requester synchronizes instead.
 	kindTooLarge
-	// kindReading carries a reading of the store: its time of day in Seq, in Unix milliseconds, and the range of IDs to
-	// pass it on to in Want. Only instances whose record names a protocol version with readings get it.
+	// kindReading carries a Reading: At in Seq, in Unix milliseconds, StateHash in Address, and From and To in Want. Only
+	// instances whose record names a protocol version with readings get it.
 	kindReading
 )
 
@@ -122,17 +122,12 @@
 		return result.New(result.MessageInvalid, "message has too many updates or requested records")
 	}
 	if m.Kind == kindReading && !validReading(m) {
-		return result.New(result.MessageInvalid, "reading with a range of %d IDs at %d ms", len(m.Want), m.Seq)
+		return result.New(result.MessageInvalid, "reading at %d ms with a range of %d IDs and a state hash of %d bytes",
+			m.Seq, len(m.Want), len(m.Address))
 	}
 	return checkUpdates(m.Updates)
 }
 
-// validReading checks the range and the time of a reading.
-func validReading(m *Message) bool {
-	inRange := len(m.Want) == 0 || len(m.Want) == 2 && validID(m.Want[0]) && validID(m.Want[1])
-	return inRange && m.Seq <= maxReadingMillis
-}
-
 // checkUpdates checks the IDs and the status of updates.
 func checkUpdates(updates []memberUpdate) error {
 	for _, u := range updates {
--- a/membership/state.go
+++ b/membership/state.go
@@ -201,7 +201,7 @@
 	case kindRecords:
 		s.receiveRecords(now, m.Records)
 	case kindReading:
-		s.receiveReading(m)
+		s.receiveReading(from, m)
 	case kindTooLarge:
 		s.emit(SyncWith{ID: m.From, Address: from})
 	}
--- a/sidecar/evacuation_spread.go
+++ b/sidecar/evacuation_spread.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthstile/event"
 	"amaranthstile/internal/wait"
 	"amaranthstile/link"
@@ -25,8 +28,8 @@
 	spreadRounds = 3
 	spreadFanOut = 3
 	spreadPause  = 150 * time.Millisecond
-	// exchangesPerDeadline is how often an instance makes sure, within the time in which an evacuation has to be in force,
-	// that it is still told of news: it exchanges with another instance, or reads the store if that fails twice.
+	// exchangesPerDeadline is how often an instance exchanges with another one, within the time in which an evacuation has
+	// to be in force, in case that it missed the news and can't read the store.
 	exchangesPerDeadline = 4
 	// partners is how many instances are partners of one in these exchanges, in its own failure domain and in the whole
 	// fleet each, so that few connections are needed.
@@ -125,22 +128,82 @@
 	}
 }
 
-// poll reads the store in the turns that fall to this instance, until ctx ends. If that brings a change, the watches have
-// missed it, and this instance's own begins anew.
-func (e *evacuations) poll(ctx context.Context) {
+// pollStore reads the store in the turns that fall to this instance, until ctx ends.
+func (e *evacuations) pollStore(ctx context.Context) {
 	for e.awaitEnabled(ctx) {
 		length := turnLength(e.deadline())
 		now := time.Now()
 		turn := now.UnixNano()/int64(length) + 1
 		wait.Sleep(ctx, time.Unix(0, turn*int64(length)).Sub(now))
-		if ctx.Err() != nil || pollerOf(e.members.Directory(), turn, e.members.Suspected()) != e.self.ID {
-			continue
+		if ctx.Err() == nil && pollerOf(e.members.Directory(), turn, e.members.Suspected()) == e.self.ID {
+			e.poll(ctx)
+		}
+	}
+}
+
+// keepFresh reads the store whenever this instance knows of no recent reading, until ctx ends.
+func (e *evacuations) keepFresh(ctx context.Context) {
+	e.readings.begin()
+	for e.awaitEnabled(ctx) {
+		if e.readings.awaitOverdue(ctx, e.deadline()) {
+			e.poll(ctx)
+		}
+	}
+}
+
+// poll reads the store once and spreads the reading. If it brings a change, the watches have missed it, and this
+// instance's own begins anew.
+func (e *evacuations) poll(ctx context.Context) {
+	requestedAt := time.Now()
+	ok, changed := e.readStore(ctx)
+	if !ok {
+		e.readings.failed(e.deadline())
+		return
+	}
+	e.readings.spread(requestedAt, e.stateHash())
+	if changed {
+		e.event.Log(event.WatchSilent, event.F("evacuated", *e.evacuated.Load()))
+		if cancel := e.cancelWatch.Load(); cancel != nil {
+			(*cancel)()
+		}
+	}
+}
+
+// stateHash returns a hash of which failure domains are evacuated, as far as this instance knows. It is never 0.
+func (e *evacuations) stateHash() uint64 {
+	return xxhash.Sum64String(strings.Join(*e.evacuated.Load(), "\x00")) | 1
+}
+
+// receiveReading records a reading of another instance and returns where to pass it on. If that one knows of other
+// evacuations, the reading has to wait for an exchange; see followReadings.
+func (e *evacuations) receiveReading(r membership.ReadingReceived, suspected map[membership.ID]bool) []membership.ReadingTo {
+	if e.deadline() <= 0 {
+		return nil
+	}
+	if r.Reading.StateHash != e.stateHash() {
+		select {
+		case e.differing <- r:
+		default:
 		}
-		if _, changed := e.readStore(ctx); changed {
-			e.event.Log(event.WatchSilent, event.F("evacuated", *e.evacuated.Load()))
-			if cancel := e.cancelWatch.Load(); cancel != nil {
-				(*cancel)()
+		return nil
+	}
+	r.Reading.Revision = 0 // that of the configuration
+	return e.readings.receive(r.Reading, suspected)
+}
+
+// followReadings exchanges with instances that know of other evacuations, until ctx ends.
+func (e *evacuations) followReadings(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-e.differing:
+			if _, err := e.exchange(ctx, r.Sender); err != nil || r.Reading.StateHash != e.stateHash() {
+				continue // a failure is counted, and the reading proves nothing
 			}
+			e.members.SendReadings(func(suspected map[membership.ID]bool) []membership.ReadingTo {
+				return e.receiveReading(r, suspected)
+			})
 		}
 	}
 }
@@ -165,35 +228,31 @@
 	}
 }
 
-// keepInTouch makes sure that this instance is told of news, until ctx ends.
+// keepInTouch exchanges with partners now and then, until ctx ends.
 func (e *evacuations) keepInTouch(ctx context.Context) {
 	view := &partnerView{}
 	for n := 0; e.awaitEnabled(ctx); n++ {
 		interval := e.deadline() / exchangesPerDeadline
 		wait.Sleep(ctx, interval*3/4+rand.N(interval/2))
-		if ctx.Err() == nil && !e.isInTouch(ctx, n, view) {
-			e.readStore(ctx)
+		if ctx.Err() == nil {
+			e.exchangeWithPartner(ctx, n, view)
 		}
 	}
 }
 
-// isInTouch exchanges with a partner, alternately in the whole fleet and in the own failure domain, and with another one
-// if that fails. It reports whether one of them responded, or there is none.
-func (e *evacuations) isInTouch(ctx context.Context, n int, p *partnerView) bool {
+// exchangeWithPartner exchanges with a partner, alternately in the whole fleet and in the own failure domain, and with
+// another one if that fails.
+func (e *evacuations) exchangeWithPartner(ctx context.Context, n int, p *partnerView) {
 	p.update(e.members.Directory(), e.self)
-	asked := 0
 	for k := range p.lists {
 		list := p.lists[(n+k)%len(p.lists)]
 		if len(list) == 0 {
 			continue
 		}
-		asked++
-		_, err := e.exchange(ctx, list[(n/len(p.lists))%len(list)])
-		if err == nil || result.Is(err, result.LinkVersion) {
-			return true
+		if _, err := e.exchange(ctx, list[(n/len(p.lists))%len(list)]); err == nil || result.Is(err, result.LinkVersion) {
+			return
 		}
 	}
-	return asked == 0
 }
 
 // partnerView holds the control addresses of the partners in one view of the fleet.
--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -42,6 +42,9 @@
 
 	evacuated atomic.Pointer[[]string] // what the request path reads
 	news      chan struct{}            // has an element when the evacuated domains have changed and others are to be told
+	readings  *readings
+	// differing are readings by instances that know of other evacuations than this one.
+	differing chan membership.ReadingReceived
 	// cancelWatch cancels the watch call in flight.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	evacuationCounters
@@ -58,6 +61,7 @@
 	e := &evacuations{
 		store: o.Store, members: m, calls: calls, event: o.Events, self: self, bounds: bounds, generations: g,
 		loadFirst: bounds().EvacuationDeadline > 0, news: make(chan struct{}, 1),
+		readings: newReadings(m, self, func() uint64 { return 0 }), differing: make(chan membership.ReadingReceived, 1),
 	}
 	e.evacuated.Store(&[]string{})
 	return e
@@ -137,6 +141,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	e.reads.Add(1)
+	requestedAt := time.Now()
 	stored, err := e.store.Evacuations(ctx)
 	if err != nil {
 		e.storeFailures.Add(1)
@@ -148,6 +153,7 @@
 		s.Observe(now, stored.Position, stored.Domains)
 		return nil
 	})
+	e.readings.succeeded(requestedAt)
 	return true, !slices.Equal(before, *e.evacuated.Load())
 }
 
--- a/sidecar/polling.go
+++ b/sidecar/polling.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -49,18 +48,14 @@
 	}
 }
 
-// keepFresh reads the store whenever this instance knows of no recent reading, until ctx ends. That is so if most others
-// have ended, if this instance is cut off from them, or if none of them knows of it.
+// keepFresh reads the store whenever this instance knows of no recent reading, until ctx ends.
 func (c *configurationManager) keepFresh(ctx context.Context) {
 	for ctx.Err() == nil && c.version() == 0 {
 		wait.Sleep(ctx, roleCheckInterval)
 	}
 	c.readings.begin()
 	for ctx.Err() == nil {
-		deadline := c.bounds().ConfigDeadline
-		// without the random part, instances that miss the same reading would all read at the same moment
-		wait.Sleep(ctx, time.Until(c.readings.overdueAt(deadline))+rand.N(turnLength(deadline)))
-		if ctx.Err() == nil && !time.Now().Before(c.readings.overdueAt(deadline)) {
+		if c.readings.awaitOverdue(ctx, c.bounds().ConfigDeadline) {
 			c.overdueReads.Add(1)
 			c.poll(ctx)
 		}
@@ -75,7 +70,7 @@
 		c.readings.failed(c.bounds().ConfigDeadline)
 		return
 	}
-	c.readings.spread(requestedAt)
+	c.readings.spread(requestedAt, 0)
 	if c.version() > before {
 		c.event.Log(event.WatchSilent, event.F("version", c.version()), event.F("before", before))
 		c.restartWatch()
--- a/sidecar/readings.go
+++ b/sidecar/readings.go
@@ -1,34 +1,36 @@
 package sidecar
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"amaranthstile/freshness"
 	"amaranthstile/gossip"
+	"amaranthstile/internal/wait"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 )
 
-// readings keeps track of the readings of the store that this instance and others make, and passes them on. It is safe
-// for concurrent use.
+// readings keeps track of the readings of one kind that this instance and others make at the store, and passes them on. It
+// is safe for concurrent use.
 type readings struct {
 	members *gossip.Members
-	version func() uint64 // in force at this instance
+	// version returns the version in force at this instance; 0 if what is read has none.
+	version func() uint64
 
 	mu      sync.Mutex
 	tracker *freshness.Tracker // guarded by mu
 }
 
 func newReadings(m *gossip.Members, self membership.Record, version func() uint64) *readings {
-	r := &readings{
+	return &readings{
 		members: m, version: version,
 		tracker: freshness.NewTracker(freshness.Options{
 			Self: self.ID, Domain: self.Domain, Protocol: link.ProtocolReadings, Rand: gossip.NewRand(),
 		}),
 	}
-	m.OnReading = r.receive
-	return r
 }
 
 // begin lets readings become overdue from now on.
@@ -59,16 +61,22 @@
 	return r.tracker.Last()
 }
 
-// overdueAt returns when this instance has to read the store itself unless it learns of a reading before.
-func (r *readings) overdueAt(deadline time.Duration) time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tracker.OverdueAt(deadline)
+// awaitOverdue waits until this instance may have to read the store itself, or until ctx ends, and reports whether it has
+// to. That is so if most others have ended, if this instance is cut off from them, or if none of them knows of it.
+func (r *readings) awaitOverdue(ctx context.Context, deadline time.Duration) bool {
+	overdueAt := func() time.Time {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.tracker.OverdueAt(deadline)
+	}
+	// without the random part, instances that miss the same reading would all read at the same moment
+	wait.Sleep(ctx, time.Until(overdueAt())+rand.N(turnLength(deadline)))
+	return ctx.Err() == nil && !time.Now().Before(overdueAt())
 }
 
-// spread sends a reading that this instance made to all others.
-func (r *readings) spread(requestedAt time.Time) {
-	reading := membership.Reading{At: requestedAt, Revision: r.version()}
+// spread sends a reading that this instance made to all others. The state hash is 0 for a reading of the configuration.
+func (r *readings) spread(requestedAt time.Time, stateHash uint64) {
+	reading := membership.Reading{At: requestedAt, Revision: r.version(), StateHash: stateHash}
 	r.members.SendReadings(func(suspected map[membership.ID]bool) []membership.ReadingTo {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -163,6 +163,7 @@
 	i.quotas = newQuotas(i)
 	i.configuration.onJoined = i.quotas.startTakeover
 	i.registration.onFirstStart = i.quotas.setFirstStart
+	i.members.OnReading = i.receiveReading
 	i.members.OnDirectoryChange = i.quotas.onViewChange
 	i.selector = i.newSelector()
 	i.metrics = newMetrics(i)
@@ -173,6 +174,14 @@
 	link.Register(i.control, methodTransfer, i.quotas.handleTransfer)
 }
 
+// receiveReading handles a reading of the store by another instance and returns where to pass it on.
+func (i *Instance) receiveReading(r membership.ReadingReceived, suspected map[membership.ID]bool) []membership.ReadingTo {
+	if r.Reading.StateHash != 0 {
+		return i.evacuations.receiveReading(r, suspected)
+	}
+	return i.configuration.readings.receive(r.Reading, suspected)
+}
+
 // retryBudget returns this instance's part of the retry budget: the slack is divided among the endpoints of the
 // service.
 func (i *Instance) retryBudget() admission.RetryBound {
@@ -271,7 +280,9 @@
 	i.running.Go(func() { i.configuration.keepFresh(ctx) })
 	i.running.Go(func() { i.configuration.keepConfirmed(ctx) })
 	i.running.Go(func() { i.evacuations.watch(ctx) })
-	i.running.Go(func() { i.evacuations.poll(ctx) })
+	i.running.Go(func() { i.evacuations.pollStore(ctx) })
+	i.running.Go(func() { i.evacuations.keepFresh(ctx) })
+	i.running.Go(func() { i.evacuations.followReadings(ctx) })
 	i.running.Go(func() { i.evacuations.spread(ctx) })
 	i.running.Go(func() { i.evacuations.keepInTouch(ctx) })
 	i.running.Go(func() { i.followColdness(ctx) })
