freshness: Bound the reads of one instance whatever its view

Cause: the bound on calls after a loss held only while views agree. An instance that takes all others for gone has all turns, five a second at a deadline of 2 s, and a turn and an overdue read could be in flight at once.

Change: own reads are at least 0.4 of the deadline apart, or follow the backoff of failed ones, for whichever reason they are made. After a loss the fleet reads at most once within that time for each instance that is left.

--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -28,9 +28,11 @@
 	last time.Time
 	// awaited is the latest reading that found a later version than the one in force here. It counts once that version is
 	// in force.
-	awaited  *membership.Reading
+	awaited *membership.Reading
+	// ownAt is when this instance began its own latest read.
+	ownAt    time.Time
 	failures int
-	retryAt  time.Time // of the next read after a failed one
+	retryAt  time.Time // of the next read, while one is in flight or after one that failed
 }
 
 // Options are the options of a Tracker. All fields are required.
@@ -49,16 +51,21 @@
 // Last returns when the latest known reading was made, or when the first one was awaited from; before, the zero time.
 func (t *Tracker) Last() time.Time { return t.last }
 
-// Begin lets readings become overdue from now on, unless one is known: the first configuration of a process may come from
+// Start lets readings become overdue from now on, unless one is known: the first configuration of a process may come from
 // another instance.
-func (t *Tracker) Begin(now time.Time) {
+func (t *Tracker) Start(now time.Time) {
 	if t.last.IsZero() {
 		t.last = now
 	}
 }
 
 // Succeeded records a reading that this instance requested at a time.
-func (t *Tracker) Succeeded(requestedAt time.Time) { t.record(requestedAt) }
+func (t *Tracker) Succeeded(requestedAt time.Time) {
+	if requestedAt.After(t.ownAt) {
+		t.ownAt = requestedAt
+	}
+	t.record(requestedAt)
+}
 
 // Failed records that a read of this instance failed. The next one waits for a backoff with jitter, which doubles from
 // half of Patience up to the deadline.
@@ -71,6 +78,32 @@
 // maxDoublings bounds the exponent of the backoff.
 const maxDoublings = 16
 
+// BeginTurn reports whether this instance reads the store in a turn that falls to it, and if so, counts the read as begun.
+// Reads of one instance are at least Patience apart unless they fail, however many turns fall to it: all of them do if it
+// takes the others for gone.
+func (t *Tracker) BeginTurn(now time.Time, deadline time.Duration) bool {
+	if now.Sub(t.ownAt) < Patience(deadline) || now.Before(t.retryAt) {
+		return false
+	}
+	t.begin(now, deadline)
+	return true
+}
+
+// BeginOverdue reports whether this instance reads the store because it knows of no recent reading, and if so, counts the
+// read as begun.
+func (t *Tracker) BeginOverdue(now time.Time, deadline time.Duration) bool {
+	if now.Before(t.OverdueAt(deadline)) {
+		return false
+	}
+	t.begin(now, deadline)
+	return true
+}
+
+func (t *Tracker) begin(now time.Time, deadline time.Duration) {
+	t.ownAt = now
+	t.retryAt = now.Add(Patience(deadline))
+}
+
 // OverdueAt returns when this instance reads the store itself unless it learns of a reading before.
 func (t *Tracker) OverdueAt(deadline time.Duration) time.Time {
 	at := t.last.Add(Patience(deadline))
--- a/sidecar/evacuation_spread.go
+++ b/sidecar/evacuation_spread.go
@@ -135,7 +135,10 @@
 		now := time.Now()
 		turn := now.UnixNano()/int64(length) + 1
 		wait.Sleep(ctx, time.Unix(0, turn*int64(length)).Sub(now))
-		if ctx.Err() == nil && pollerOf(e.members.Directory(), turn, e.members.Suspected()) == e.self.ID {
+		if ctx.Err() != nil || pollerOf(e.members.Directory(), turn, e.members.Suspected()) != e.self.ID {
+			continue
+		}
+		if e.readings.beginTurn(e.deadline()) {
 			e.poll(ctx)
 		}
 	}
@@ -143,7 +146,7 @@
 
 // keepFresh reads the store whenever this instance knows of no recent reading, until ctx ends.
 func (e *evacuations) keepFresh(ctx context.Context) {
-	e.readings.begin()
+	e.readings.start()
 	for e.awaitEnabled(ctx) {
 		if e.readings.awaitOverdue(ctx, e.deadline()) {
 			e.poll(ctx)
--- a/sidecar/polling.go
+++ b/sidecar/polling.go
@@ -27,7 +27,7 @@
 // pollerOf returns the instance that reads the store in a turn. The turns follow the clock and fall to all instances
 // alike, so that the fleet reads the store at the same rate whatever its size. Instances with the same view agree on it;
 // one that suspects the chosen instance reads in its place. A turn passes without a reading if the chosen instance has
-// ended and nobody suspects it yet; see keepFresh.
+// ended and nobody suspects it yet, or has read not long before; see keepFresh.
 func pollerOf(d *membership.Directory, turn int64, suspected map[membership.ID]bool) membership.ID {
 	return d.SelectInstance("poll\x00"+strconv.FormatInt(turn, 10), suspected)
 }
@@ -35,14 +35,15 @@
 // pollStore reads the store in the turns that fall to this instance, until ctx ends.
 func (c *configurationManager) pollStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		length := turnLength(c.bounds().ConfigDeadline)
+		deadline := c.bounds().ConfigDeadline
+		length := turnLength(deadline)
 		now := time.Now()
 		turn := now.UnixNano()/int64(length) + 1
 		wait.Sleep(ctx, time.Unix(0, turn*int64(length)).Sub(now))
 		if ctx.Err() != nil || c.version() == 0 {
 			continue
 		}
-		if pollerOf(c.members.Directory(), turn, c.members.Suspected()) == c.self.ID {
+		if pollerOf(c.members.Directory(), turn, c.members.Suspected()) == c.self.ID && c.readings.beginTurn(deadline) {
 			c.poll(ctx)
 		}
 	}
@@ -53,7 +54,7 @@
 	for ctx.Err() == nil && c.version() == 0 {
 		wait.Sleep(ctx, roleCheckInterval)
 	}
-	c.readings.begin()
+	c.readings.start()
 	for ctx.Err() == nil {
 		if c.readings.awaitOverdue(ctx, c.bounds().ConfigDeadline) {
 			c.overdueReads.Add(1)
--- a/sidecar/readings.go
+++ b/sidecar/readings.go
@@ -33,11 +33,11 @@
 	}
 }
 
-// begin lets readings become overdue from now on.
-func (r *readings) begin() {
+// start lets readings become overdue from now on.
+func (r *readings) start() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.Begin(time.Now())
+	r.tracker.Start(time.Now())
 }
 
 // succeeded records that this instance has read the store, as requested at a time.
@@ -61,17 +61,24 @@
 	return r.tracker.Last()
 }
 
+// beginTurn reports whether this instance reads the store in a turn that falls to it.
+func (r *readings) beginTurn(deadline time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.BeginTurn(time.Now(), deadline)
+}
+
 // awaitOverdue waits until this instance may have to read the store itself, or until ctx ends, and reports whether it has
 // to. That is so if most others have ended, if this instance is cut off from them, or if none of them knows of it.
 func (r *readings) awaitOverdue(ctx context.Context, deadline time.Duration) bool {
-	overdueAt := func() time.Time {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.tracker.OverdueAt(deadline)
-	}
+	r.mu.Lock()
+	overdueAt := r.tracker.OverdueAt(deadline)
+	r.mu.Unlock()
 	// without the random part, instances that miss the same reading would all read at the same moment
-	wait.Sleep(ctx, time.Until(overdueAt())+rand.N(turnLength(deadline)))
-	return ctx.Err() == nil && !time.Now().Before(overdueAt())
+	wait.Sleep(ctx, time.Until(overdueAt)+rand.N(turnLength(deadline)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return ctx.Err() == nil && r.tracker.BeginOverdue(time.Now(), deadline)
 }
 
 // spread sends a reading that this instance made to all others. The state hash is 0 for a reading of the configuration.
