sidecar: Log how long a configuration took to fetch and to apply

Of a configuration that is late, the logs could not tell a transfer that takes long from an instance that needs long to put it in force, and of failed reads of the store only the first was logged. 2201 has fetch_ms, bytes and apply_ms, 6110 has took_ms, and 2205 is each failed read.

--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,8 @@
 	DomainReturned       ID = 2302
 	EvacuationLost       ID = 2303
 
+	ConfigurationReadFailed ID = 2205
+
 	PlatformAway     ID = 3001
 	PlatformBack     ID = 3002
 	PlatformRestored ID = 3003
@@ -130,10 +132,11 @@
 	{TicketDamaged, "ticket-damaged", log.ErrorLevel, "An object in the platform can't be read; the configuration in force does not change. Check the object."},
 	{TicketsCompacted, "tickets-compacted", log.InfoLevel, "This instance stored a snapshot of the tickets in the platform and deleted old entries."},
 	{CompactionFailed, "compaction-failed", log.WarnLevel, "A snapshot could not be stored; the next one replaces it. Check the platform if this repeats."},
-	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces, \"behind_ms\" how long ago another instance first announced a newer one."},
+	{ConfigurationInForce, "configuration-in-force", log.InfoLevel, "A configuration is in force here; \"before\" is the version that it replaces, \"behind_ms\" how long ago another instance first announced a newer one, \"fetch_ms\" how long the transfer of \"bytes\" from the store or the instance in \"from\" took, \"apply_ms\" how long it then took to put it in force."},
 	{ConfigurationRefused, "configuration-refused", log.ErrorLevel, "A configuration can't be read and is not used; the result code and the error give the reason."},
 	{WatchSilent, "watch-silent", log.WarnLevel, "A read found a configuration or an evacuation that the watch on the store did not report; the watch is restarted."},
 	{StoreBehind, "store-behind", log.WarnLevel, "The store holds an older configuration, \"stored\" (0: none), than the one in force here, which stays in force. The operator has to write the newest one again."},
+	{ConfigurationReadFailed, "configuration-read-failed", log.InfoLevel, "A read of the configuration at the store failed after \"took_ms\"; \"version\" is in force here. Other instances are asked, and the store again."},
 	{DomainEvacuated, "domain-evacuated", log.InfoLevel, "A failure domain is evacuated: from now on, this instance sends no requests to backend servers there, and none to its own if it is in that domain. \"from\" is the store or the instance that told it."},
 	{DomainReturned, "domain-returned", log.InfoLevel, "The evacuation of a failure domain has ended; its backend servers get requests again."},
 	{EvacuationLost, "evacuation-lost", log.WarnLevel, "The store came back from an older copy without the object of an evacuation, which goes on for 30 s. The operator has to write the object again."},
@@ -183,7 +186,7 @@
 	{KeysReloaded, "keys-reloaded", log.InfoLevel, "New keys for connections between instances are in use."},
 	{KeysRefused, "keys-refused", log.ErrorLevel, "New keys for connections between instances can't be used; the old ones stay in use. Correct the files."},
 	{StateLoaded, "state-loaded", log.InfoLevel, "The configuration was loaded from another instance."},
-	{StateRefused, "state-refused", log.WarnLevel, "A complete configuration could not be loaded from another instance; the result code gives the reason. Other instances are asked."},
+	{StateRefused, "state-refused", log.WarnLevel, "A complete configuration could not be loaded from another instance; the result code gives the reason, \"took_ms\" when it was given up. Other instances are asked."},
 }
 
 // byID indexes the table by event number.
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -168,13 +168,21 @@
 	return ok
 }
 
-// apply puts a configuration in force unless the same version or a newer one is, and returns its version. The source is
-// "store" or the address of the instance that sent it.
-func (c *configurationManager) apply(specification []byte, source string) (version uint64, err error) {
-	next, err := c.decode(specification)
+// receivedConfiguration is an encoded configuration with where it came from.
+type receivedConfiguration struct {
+	specification []byte
+	source        string        // sourceStore, or the address of the instance that sent it
+	bytes         int           // that were transferred
+	took          time.Duration // of the transfer; 0 for a watch, which waits for the change
+}
+
+// apply puts a configuration in force unless the same version or a newer one is, and returns its version.
+func (c *configurationManager) apply(r receivedConfiguration) (version uint64, err error) {
+	receivedAt := time.Now()
+	next, err := c.decode(r.specification)
 	if err != nil {
 		c.event.Log(event.ConfigurationRefused,
-			event.F("from", source), event.F("code", int(result.CodeOf(err))), event.F("error", err.Error()))
+			event.F("from", r.source), event.F("code", int(result.CodeOf(err))), event.F("error", err.Error()))
 		return 0, err
 	}
 	c.mu.Lock()
@@ -183,7 +191,7 @@
 	if before != nil && before.Version >= next.Version {
 		return next.Version, nil
 	}
-	active := &activeConfiguration{Configuration: next, specification: specification, activatedAt: time.Now()}
+	active := &activeConfiguration{Configuration: next, specification: r.specification, activatedAt: time.Now()}
 	if before == nil {
 		before = &activeConfiguration{Configuration: &Configuration{}}
 	}
@@ -195,8 +203,12 @@
 	c.members.SetRevision(next.Version)
 	c.readings.versionInForce(next.Version)
 	fields := []event.Field{
-		event.F("version", next.Version), event.F("before", before.Version), event.F("from", source),
+		event.F("version", next.Version), event.F("before", before.Version), event.F("from", r.source),
 		event.F("routes", len(next.Routes)), event.F("accounts", len(next.Accounts)),
+		event.F("bytes", r.bytes), event.F("apply_ms", time.Since(receivedAt).Milliseconds()),
+	}
+	if r.took > 0 {
+		fields = append(fields, event.F("fetch_ms", r.took.Milliseconds()))
 	}
 	if since := c.behindSince.Swap(nil); since != nil {
 		fields = append(fields, event.F("behind_ms", time.Since(*since).Milliseconds()))
@@ -266,10 +278,14 @@
 		c.recordStored(0, inForce)
 	}
 	if err != nil {
+		c.event.Log(event.ConfigurationReadFailed, event.F("version", inForce), event.F("code", int(result.CodeOf(err))),
+			event.F("took_ms", time.Since(requestedAt).Milliseconds()))
 		return false
 	}
 	c.generations.observe(s.Position.Generation)
-	version, err := c.apply(s.Specification, "store")
+	version, err := c.apply(receivedConfiguration{
+		specification: s.Specification, source: sourceStore, bytes: len(s.Specification), took: time.Since(requestedAt),
+	})
 	if err != nil {
 		return false
 	}
@@ -368,11 +384,15 @@
 	if err := c.calls.Call(
 		ctx, addr.String(), methodConfiguration, configurationRequest{HaveVersion: c.version()}, &response,
 	); err != nil {
-		c.event.Log(event.StateRefused, event.F("from", addr.String()), event.F("code", int(result.CodeOf(err))))
+		c.event.Log(event.StateRefused, event.F("from", addr.String()), event.F("code", int(result.CodeOf(err))),
+			event.F("took_ms", time.Since(requestedAt).Milliseconds()))
 		return false
 	}
 	if response.Specification != nil {
-		if _, err := c.apply(response.Specification, addr.String()); err != nil {
+		if _, err := c.apply(receivedConfiguration{
+			specification: response.Specification, source: addr.String(), bytes: len(response.Specification),
+			took: time.Since(requestedAt),
+		}); err != nil {
 			return false
 		}
 	}
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -48,7 +48,9 @@
 	}
 	if ok {
 		// a rejected configuration is logged, and the next version replaces it
-		if version, err := c.apply(s.Specification, "store"); err == nil {
+		if version, err := c.apply(receivedConfiguration{
+			specification: s.Specification, source: sourceStore, bytes: len(s.Specification),
+		}); err == nil {
 			c.recordStored(version, inForce)
 		}
 		c.advancePosition(s.Position)
