platform: Give up a read of the configuration when it stalls, not when it takes long

Callers saw requests handled by older versions, and 404 on routes that had been added, where the configuration had grown by many routes: a read of 560 KB and more over a link of 10 Mbit/s that carries other traffic takes longer than the 0.8 s after which every read was given up and begun again, so that none completed and the transfers that were given up filled the links.

A read is now given up when no byte has arrived for 0.8 s, and after 10 s at most; until its first byte, nothing changes.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	// storeTimeout bounds every other call to the store: many times its usual latency of 4 ms, and well within the time
-	// in which a configuration has to be in force.
+	// storeTimeout bounds every call to the store but watches and the transfer of a configuration: many times its usual
+	// latency of 4 ms, and well within the time in which a configuration has to be in force.
 	storeTimeout = 800 * time.Millisecond
+	// maxReadDuration bounds one read of the configuration, while parts of it keep arriving.
+	maxReadDuration = 10 * time.Second
 	// maxPeersAsked is how many instances are asked in one round while the store is unavailable.
 	maxPeersAsked = 3
 	// initialWait bounds how long an instance that is not a watcher waits for the first configuration from
@@ -268,7 +270,7 @@
 
 // readStore reads the store and applies what it holds; it reports whether that succeeded.
 func (c *configurationManager) readStore(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxReadDuration)
 	defer cancel()
 	c.reads.Add(1)
 	inForce, requestedAt := c.version(), time.Now()
--- a/sidecar/store.go
+++ b/sidecar/store.go
@@ -14,7 +14,8 @@
 // Store is the part of the platform's versioned store that an instance uses. All methods are safe for concurrent use.
 // Errors carry the codes from 3001 to 3199.
 type Store interface {
-	// Configuration reads the operator's newest configuration; the error carries PlatformNotFound if there is none.
+	// Configuration reads the operator's newest configuration; the error carries PlatformNotFound if there is none. It
+	// returns an error soon after the store stops sending, but may take long while the response keeps arriving.
 	Configuration(ctx context.Context) (StoredConfiguration, error)
 	// AwaitConfiguration waits for a configuration that is stored after a position. If the wait ends without one, ok is
 	// false. The error carries PlatformHistoryGone if the store lacks the history since then, as it does if its generation
--- a/sidecar/testbed_test.go
+++ b/sidecar/testbed_test.go
@@ -200,6 +200,7 @@
 	partitioned sync.Map // by address
 	// reachable are the only addresses that connections are not partitioned to; nil means all others.
 	reachable atomic.Pointer[map[string]bool]
+	link      atomic.Pointer[narrowLink] // over which the instance receives; nil means without a limit
 }
 
 // isPartitioned reports whether an address can't be reached.
@@ -221,6 +222,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l := n.link.Load(); l != nil {
+		c = narrowConn{Conn: c, link: l}
+	}
 	return &partitionedConn{Conn: c, network: n, address: address}, nil
 }
 
