sidecar: Pass a configuration on as its difference from the one before

Callers saw requests handled by older versions and 404 on added routes (CONFIG), and 429 within their rates, wherever a configuration of 1,400 routes and more changed on links of 10 Mbit/s.

Cause: each instance fetched the whole configuration from another one, in base64 within JSON, for each version. Those transfers filled the links of the announcing instances and were given up after 0.5 s; 90 of 95 instances then read the store, which filled its link and theirs. Datagrams of the membership got lost in full links, so instances were suspected, readings didn't arrive, and more instances read the store by themselves. The cost of a change grew with the size of the configuration.

Instances now send the difference from the configuration that the asking instance has, if that is what was in force here before, and the compressed whole otherwise: 0.2 KB for one route of 2,800 in place of 720 KB, 18 KB for 1,400 added ones. The hash of the text makes sure that both mean the same base. An instance of an earlier version doesn't ask for that and gets the text as before. The position of the store goes along, so that a watcher doesn't fetch versions that are outdated.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"math/rand/v2"
 	"net/netip"
 	"reflect"
 	"sync"
@@ -26,8 +24,6 @@
 	storeTimeout = 800 * time.Millisecond
 	// maxReadDuration bounds one read of the configuration, while parts of it keep arriving.
 	maxReadDuration = 10 * time.Second
-	// maxPeersAsked is how many instances are asked in one round while the store is unavailable.
-	maxPeersAsked = 3
 	// initialWait bounds how long an instance that is not a watcher waits for the first configuration from
 	// other instances.
 	initialWait = 3 * time.Second
@@ -36,43 +32,16 @@
 	// The backoff between failed calls to the store grows from minBackoff to maxBackoff, with jitter.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
-	// fetchTimeout bounds one call to another instance for its configuration.
-	fetchTimeout = 500 * time.Millisecond
-	// fetchHedgeDelay is how long another instance may take to return a configuration before the store is read as well. A
-	// change passes through a few instances on its way, and each may wait that long within the time to put it in force.
-	fetchHedgeDelay = 150 * time.Millisecond
 )
 
-// methodConfiguration asks another instance for its configuration.
-const methodConfiguration link.Method = "configuration.get"
-
-// configurationRequest names the version that the requesting instance has.
-type configurationRequest struct {
-	HaveVersion uint64 `json:"have"`
-}
-
-// configurationResponse holds the responding instance's configuration; the specification is left out unless it is newer
-// than the requested version.
-type configurationResponse struct {
-	Version       uint64 `json:"version"`
-	Specification []byte `json:"specification,omitempty"`
-	// AgeMillis is how long ago the store confirmed the configuration, directly or through another instance.
-	AgeMillis int64 `json:"age"`
-	// ServingMillis is for how long the responding instance has served requests.
-	ServingMillis int64 `json:"serving,omitempty"`
-}
-
-// age returns how long ago the store confirmed the configuration, 0 if the other instance states a negative age.
-func (r configurationResponse) age() time.Duration {
-	return time.Duration(min(max(r.AgeMillis, 0), math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
-}
-
 // activeConfiguration is a configuration in force, with the view that the request path reads.
 type activeConfiguration struct {
 	*Configuration
-	view          entry.Config
-	specification []byte
-	activatedAt   time.Time
+	view        entry.Config
+	activatedAt time.Time
+	encoded     *encodedConfiguration
+	// position is a point in the store's history from which only later configurations follow.
+	position Position
 }
 
 // configurationManager keeps the newest configuration in force and passes it on to other instances.
@@ -176,6 +145,7 @@
 	source        string        // sourceStore, or the address of the instance that sent it
 	bytes         int           // that were transferred
 	took          time.Duration // of the transfer; 0 for a watch, which waits for the change
+	position      Position      // where the store's history holds it
 }
 
 // apply puts a configuration in force unless the same version or a newer one is, and returns its version.
@@ -193,10 +163,13 @@
 	if before != nil && before.Version >= next.Version {
 		return next.Version, nil
 	}
-	active := &activeConfiguration{Configuration: next, specification: r.specification, activatedAt: time.Now()}
 	if before == nil {
 		before = &activeConfiguration{Configuration: &Configuration{}}
 	}
+	active := &activeConfiguration{
+		Configuration: next, activatedAt: time.Now(), position: r.position,
+		encoded: newEncodedConfiguration(next.Version, r.specification, before.encoded),
+	}
 	active.view.Routes = before.view.Routes.With(diff(before.Routes, next.Routes))
 	active.view.Accounts = before.view.Accounts.With(diff(before.Accounts, next.Accounts))
 	active.view.Limits = next.Limits
@@ -287,6 +260,7 @@
 	c.generations.observe(s.Position.Generation)
 	version, err := c.apply(receivedConfiguration{
 		specification: s.Specification, source: sourceStore, bytes: len(s.Specification), took: time.Since(requestedAt),
+		position: s.Position,
 	})
 	if err != nil {
 		return false
@@ -345,101 +319,6 @@
 	c.event.Log(event.PlatformBack)
 }
 
-// followPeers fetches the newer configurations that other instances announce, until ctx ends.
-func (c *configurationManager) followPeers(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case b := <-c.newerRevisions:
-			if c.version() < b.Revision {
-				c.fetchAnnounced(ctx, b.Address)
-			}
-		}
-	}
-}
-
-// fetchAnnounced fetches the configuration of another instance, and reads the store if that fails or takes long: a kept
-// connection to the instance can have stopped responding without an error.
-func (c *configurationManager) fetchAnnounced(ctx context.Context, addr netip.AddrPort) {
-	fetched := make(chan bool, 1)
-	go func() { fetched <- c.fetchFrom(ctx, addr) }()
-	hedge := time.NewTimer(fetchHedgeDelay)
-	defer hedge.Stop()
-	select {
-	case ok := <-fetched:
-		if ok {
-			return
-		}
-	case <-hedge.C:
-	}
-	c.readStore(ctx)
-}
-
-// fetchFrom fetches the configuration of another instance and applies it if it is newer; it reports whether that
-// succeeded.
-func (c *configurationManager) fetchFrom(ctx context.Context, addr netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	requestedAt := time.Now()
-	var response configurationResponse
-	if err := c.calls.Call(
-		ctx, addr.String(), methodConfiguration, configurationRequest{HaveVersion: c.version()}, &response,
-	); err != nil {
-		c.event.Log(event.StateRefused, event.F("from", addr.String()), event.F("code", int(result.CodeOf(err))),
-			event.F("took_ms", time.Since(requestedAt).Milliseconds()))
-		return false
-	}
-	if response.Specification != nil {
-		if _, err := c.apply(receivedConfiguration{
-			specification: response.Specification, source: addr.String(), bytes: len(response.Specification),
-			took: time.Since(requestedAt),
-		}); err != nil {
-			return false
-		}
-	}
-	c.recordServing(response.ServingMillis)
-	if c.version() <= response.Version {
-		c.confirm(requestedAt.Add(-response.age()))
-	}
-	return true
-}
-
-// askPeers fetches the configuration from other instances in random order, up to maxPeersAsked of them, until one
-// succeeds and a configuration is in force.
-func (c *configurationManager) askPeers(ctx context.Context) {
-	records := c.members.All()
-	rand.Shuffle(len(records), func(a, b int) { records[a], records[b] = records[b], records[a] })
-	asked := 0
-	for _, r := range records {
-		if r.ID == c.self.ID {
-			continue
-		}
-		if asked++; asked > maxPeersAsked {
-			return
-		}
-		if c.fetchFrom(ctx, r.Control) && c.version() > 0 {
-			return
-		}
-	}
-}
-
-// handleRequest responds to another instance's request for this one's configuration.
-func (c *configurationManager) handleRequest(_ context.Context, request configurationRequest) (any, error) {
-	active := c.current.Load()
-	if active == nil {
-		return nil, result.New(result.NotReady, "this instance has no configuration yet")
-	}
-	response := configurationResponse{Version: active.Version, AgeMillis: c.confirmationAge(time.Now()).Milliseconds()}
-	if since := c.servingSince.Load(); since != nil {
-		response.ServingMillis = time.Since(*since).Milliseconds()
-	}
-	if request.HaveVersion < active.Version {
-		response.Specification = active.specification
-	}
-	return response, nil
-}
-
 // checkKey returns nil while a key belongs to an account, for the exit side.
 func (c *configurationManager) checkKey(use exit.KeyUse) error {
 	view := c.view()
--- a/sidecar/narrow_link_test.go
+++ b/sidecar/narrow_link_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
 	"amaranthstile/result"
@@ -21,7 +23,10 @@
 const linkChunk = 4 << 10
 
 // narrowLink is the link of an instance to the network, as far as it receives.
-type narrowLink struct{ *rate.Limiter }
+type narrowLink struct {
+	*rate.Limiter
+	fromInstances atomic.Int64 // bytes received from other instances
+}
 
 func newNarrowLink(bytesPerSecond int) *narrowLink {
 	return &narrowLink{Limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), linkChunk)}
@@ -47,6 +52,7 @@
 func (c narrowConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p[:min(len(p), linkChunk)])
 	if n > 0 {
+		c.link.fromInstances.Add(int64(n))
 		_ = c.link.carry(context.Background(), n)
 	}
 	return n, err
@@ -137,6 +143,33 @@
 	}
 }
 
+// TestConfigurationIsInForceInTimeOverLinksThatItFillsForLong guards against instances that give up a transfer which only takes long.
+func TestConfigurationIsInForceInTimeOverLinksThatItFillsForLong(t *testing.T) {
+	store, nodes := startNarrowFleet(t, 12)
+	for version := uint64(2); version <= 4; version++ {
+		putGrown(t, store, nodes, version)
+	}
+}
+
+// TestChangeOfAGrownConfigurationIsPassedOnAtLowCost guards against links that are full of what has not changed. An instance may
+// use 2 KB a second for control.
+func TestChangeOfAGrownConfigurationIsPassedOnAtLowCost(t *testing.T) {
+	is := is.New(t)
+	const controlBytesPerSecond = 2 << 10
+	store, nodes := startNarrowFleet(t, 12)
+	putGrown(t, store, nodes, 2)
+	received := func() (n int64) {
+		for _, x := range nodes {
+			n += x.network.link.Load().fromInstances.Load()
+		}
+		return n
+	}
+	before := received()
+	putGrown(t, store, nodes, 3)
+	deadline := nodes[0].settings.Bounds.ConfigDeadline
+	is.True(received()-before <= int64(len(nodes))*int64(controlBytesPerSecond*deadline.Seconds()))
+}
+
 // TestReadOfTheStoreThatTakesLongIsNotGivenUp lets instances read a grown configuration while their watches hang.
 func TestReadOfTheStoreThatTakesLongIsNotGivenUp(t *testing.T) {
 	store, nodes := startNarrowFleet(t, 2)
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -49,7 +49,7 @@
 	if ok {
 		// a rejected configuration is logged, and the next version replaces it
 		if version, err := c.apply(receivedConfiguration{
-			specification: s.Specification, source: sourceStore, bytes: len(s.Specification),
+			specification: s.Specification, source: sourceStore, bytes: len(s.Specification), position: s.Position,
 		}); err == nil {
 			c.recordStored(version, inForce)
 		}
