sidecar: Ask announcing instances while a read of the store takes long

With reads that are only given up when they stall, an instance whose first announcing instance was silent read the store, and heard no other announcement until that read ended, up to 10 s later on a narrow link that is full. Announcements are now followed while the read goes on alone, and a configuration from an instance ends the read. A read that is cancelled so isn't taken for a failure of the store.

TestLongReadDoesNotKeepAConfigurationFromAnotherInstance failed before.

--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -15,6 +15,7 @@
 	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
+	"amaranthstile/result"
 )
 
 // fixedStore is a store that holds one configuration.
@@ -65,3 +66,46 @@
 	}
 	is.Equal(c.version(), uint64(2))
 }
+
+// trickledStore is a store whose reads take long, until they are cancelled.
+type trickledStore struct {
+	Store
+	cancelled chan struct{}
+}
+
+// Configuration implements Store.
+func (s trickledStore) Configuration(ctx context.Context) (out StoredConfiguration, err error) {
+	<-ctx.Done()
+	close(s.cancelled)
+	return out, result.Wrap(result.PlatformUnavailable, ctx.Err(), "the read was cancelled")
+}
+
+// TestLongReadDoesNotKeepAConfigurationFromAnotherInstance guards against a read over a narrow link, begun because the first announcing
+// instance was silent, while another one announces the configuration, too.
+func TestLongReadDoesNotKeepAConfigurationFromAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	specification, err := json.Marshal(Configuration{Version: 2})
+	is.NoErr(err)
+	other := newManager(t, specification)
+	server := link.NewControlServer()
+	link.Register(server, methodConfiguration, other.handleRequest)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = l.Close() }()
+	store := trickledStore{cancelled: make(chan struct{})}
+	c := newManager(t)
+	c.store = store
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.followPeers(ctx)
+	c.onNewerRevision(membership.NewerRevision{ID: "silent", Address: listenSilently(t), Revision: 2})
+	end := time.Now().Add(DefaultBounds().ConfigDeadline / 2)
+	for time.Now().Before(end) && c.version() < 2 {
+		c.onNewerRevision(membership.NewerRevision{ID: "other", Address: l.Addr().(*net.TCPAddr).AddrPort(), Revision: 2})
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(c.version(), uint64(2))
+	<-store.cancelled
+	is.True(!c.storeUnavailable.Load())
+}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -241,13 +241,17 @@
 	}
 }
 
-// readStore reads the store and applies what it holds; it reports whether that succeeded.
-func (c *configurationManager) readStore(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxReadDuration)
+// readStore reads the store and applies what it holds; it reports whether that succeeded. A read that the caller cancels
+// says nothing about the store.
+func (c *configurationManager) readStore(caller context.Context) bool {
+	ctx, cancel := context.WithTimeout(caller, maxReadDuration)
 	defer cancel()
 	c.reads.Add(1)
 	inForce, requestedAt := c.version(), time.Now()
 	s, err := c.store.Configuration(ctx)
+	if err != nil && caller.Err() != nil {
+		return false
+	}
 	c.recordStoreResult(err)
 	if result.Is(err, result.PlatformNotFound) {
 		c.recordStored(0, inForce)
--- a/sidecar/configuration_exchange.go
+++ b/sidecar/configuration_exchange.go
@@ -9,6 +9,7 @@
 
 	"amaranthstile/event"
 	"amaranthstile/link"
+	"amaranthstile/membership"
 	"amaranthstile/result"
 )
 
@@ -81,11 +82,15 @@
 	}
 }
 
-// fetchAnnounced fetches the configuration of another instance, and reads the store if that fails or takes long: a kept
-// connection to the instance can have stopped responding without an error.
+// fetchAnnounced fetches the configuration of another instance, and reads the store as well if that fails or takes long: a
+// kept connection to the instance can have stopped responding without an error. A configuration from
+// an instance ends the read. While a read goes on alone, which can take long, the instances that announce a newer version
+// are asked.
 func (c *configurationManager) fetchAnnounced(ctx context.Context, addr netip.AddrPort) {
-	fetched := make(chan bool, 1)
-	go func() { fetched <- c.fetchFrom(ctx, addr) }()
+	fetch := func(addr netip.AddrPort) <-chan bool {
+		return inBackground(func() bool { return c.fetchFrom(ctx, addr) })
+	}
+	fetched := fetch(addr)
 	hedge := time.NewTimer(fetchHedgeDelay)
 	defer hedge.Stop()
 	select {
@@ -93,9 +98,41 @@
 		if ok {
 			return
 		}
+		fetched = nil
 	case <-hedge.C:
 	}
-	c.readStore(ctx)
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	read := inBackground(func() bool { return c.readStore(reading) })
+	for fetched != nil || read != nil {
+		var announced <-chan membership.NewerRevision
+		if fetched == nil {
+			announced = c.newerRevisions
+		}
+		select {
+		case ok := <-fetched:
+			if ok {
+				return
+			}
+			fetched = nil
+		case ok := <-read:
+			if ok {
+				return
+			}
+			read = nil
+		case b := <-announced:
+			if c.version() < b.Revision {
+				fetched = fetch(b.Address)
+			}
+		}
+	}
+}
+
+// inBackground calls f in a goroutine and returns a channel that gets its result.
+func inBackground(f func() bool) <-chan bool {
+	out := make(chan bool, 1)
+	go func() { out <- f() }()
+	return out
 }
 
 // fetchFrom fetches the configuration of another instance and applies it if it is newer; it reports whether that
