sidecar: Share the manager of the tests of announced and of encoded configurations

TestAnnouncedConfigurationIsInForceWhileTheAnnouncerIsSilent built the same manager as the tests of encoded configurations do.

--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -10,9 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"amaranthstile/event"
-	"amaranthstile/gossip"
-	"amaranthstile/internal/owner"
 	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
@@ -44,18 +41,8 @@
 	is := is.New(t)
 	specification, err := json.Marshal(Configuration{Version: 2})
 	is.NoErr(err)
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	calls := link.NewControlClient(link.SystemNetwork{}, nil)
-	defer calls.Close()
-	self := membership.Record{ID: "self", Domain: "x"}
-	members := gossip.New(owner.New(owner.NewSystem()), self, conn, calls, event.Discard())
-	c := newConfigurationManager(Options{
-		Store:  fixedStore{stored: StoredConfiguration{Specification: specification, Position: Position{Revision: 1}}},
-		Decode: func(data []byte) (out *Configuration, err error) { return out, json.Unmarshal(data, &out) },
-		Events: event.Discard(),
-	}, DefaultBounds, members, calls, self, newGenerations(event.Discard()))
+	c := newManager(t)
+	c.store = fixedStore{stored: StoredConfiguration{Specification: specification, Position: Position{Revision: 1}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go c.followPeers(ctx)
