--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -67,8 +67,7 @@
 	return out, result.Wrap(result.PlatformUnavailable, ctx.Err(), "the read was cancelled")
 }
 
-// TestLongReadDoesNotKeepAConfigurationFromAnotherInstance guards against a read over a narrow link, begun because the first announcing
-// instance was silent, while another one announces the configuration, too.
+// TestLongReadDoesNotKeepAConfigurationFromAnotherInstance guards against announcements that wait for a read over a narrow link.
 func TestLongReadDoesNotKeepAConfigurationFromAnotherInstance(t *testing.T) {
 	is := is.New(t)
 	specification, err := json.Marshal(Configuration{Version: 2})
--- a/sidecar/encoded_configuration_test.go
+++ b/sidecar/encoded_configuration_test.go
@@ -31,8 +31,7 @@
 	return out
 }
 
-// TestInstanceGetsADifferenceOnlyFromWhatItHas lets instances with the base, another configuration of the same version,
-// an older one and none ask.
+// TestInstanceGetsADifferenceOnlyFromWhatItHas guards against a difference from another text of the same version.
 func TestInstanceGetsADifferenceOnlyFromWhatItHas(t *testing.T) {
 	is := is.New(t)
 	base := newEncodedConfiguration(2, encode(t, 2, 100), nil)
@@ -72,8 +71,7 @@
 	return c
 }
 
-// TestInstanceThatDecodesNoDifferenceGetsTheSpecification guards against a fleet of two versions that can't pass
-// configurations on.
+// TestInstanceThatDecodesNoDifferenceGetsTheSpecification guards against a fleet of two versions that passes nothing on.
 func TestInstanceThatDecodesNoDifferenceGetsTheSpecification(t *testing.T) {
 	is := is.New(t)
 	c := newManager(t, encode(t, 1, 10), encode(t, 2, 11))
@@ -85,8 +83,7 @@
 	is.True(r.Encoded == nil)
 }
 
-// TestConfigurationIsPassedOnWithItsPosition guards against a watch that goes on from before what another instance sent,
-// and returns all versions since then.
+// TestConfigurationIsPassedOnWithItsPosition guards against a watch that returns versions which another instance has sent.
 func TestConfigurationIsPassedOnWithItsPosition(t *testing.T) {
 	is := is.New(t)
 	c := newManager(t, encode(t, 1, 10), encode(t, 2, 11))
--- a/sidecar/narrow_link_test.go
+++ b/sidecar/narrow_link_test.go
@@ -151,11 +151,10 @@
 	}
 }
 
-// TestChangeOfAGrownConfigurationIsPassedOnAtLowCost guards against links that are full of what has not changed. An instance may
-// use 2 KB a second for control.
+// TestChangeOfAGrownConfigurationIsPassedOnAtLowCost guards against links that are full of what has not changed.
 func TestChangeOfAGrownConfigurationIsPassedOnAtLowCost(t *testing.T) {
 	is := is.New(t)
-	const controlBytesPerSecond = 2 << 10
+	const controlBytesPerSecond = 2 << 10 // the design target of an instance
 	store, nodes := startNarrowFleet(t, 12)
 	putGrown(t, store, nodes, 2)
 	received := func() (n int64) {
