sidecar: Test that a fetched configuration moves the watch of the instance that fetched it

TestConfigurationIsPassedOnWithItsPosition looked at the response only, so it passed without the line that it is to guard (advancePosition in fetchFrom). Of the product, only the line breaks of a comment change.

--- a/sidecar/announced_test.go
+++ b/sidecar/announced_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"amaranthstile/link"
 	"amaranthstile/membership"
 	"amaranthstile/result"
 )
@@ -72,13 +71,7 @@
 	is := is.New(t)
 	specification, err := json.Marshal(Configuration{Version: 2})
 	is.NoErr(err)
-	other := newManager(t, specification)
-	server := link.NewControlServer()
-	link.Register(server, methodConfiguration, other.handleRequest)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = server.Serve(l) }()
-	defer func() { _ = l.Close() }()
+	other := serveConfiguration(t, newManager(t, specification))
 	store := trickledStore{cancelled: make(chan struct{})}
 	c := newManager(t)
 	c.store = store
@@ -88,7 +81,7 @@
 	c.onNewerRevision(membership.NewerRevision{ID: "silent", Address: listenSilently(t), Revision: 2})
 	end := time.Now().Add(DefaultBounds().ConfigDeadline / 2)
 	for time.Now().Before(end) && c.version() < 2 {
-		c.onNewerRevision(membership.NewerRevision{ID: "other", Address: l.Addr().(*net.TCPAddr).AddrPort(), Revision: 2})
+		c.onNewerRevision(membership.NewerRevision{ID: "other", Address: other, Revision: 2})
 		time.Sleep(5 * time.Millisecond)
 	}
 	is.Equal(c.version(), uint64(2))
--- a/sidecar/configuration_exchange.go
+++ b/sidecar/configuration_exchange.go
@@ -83,9 +83,8 @@
 }
 
 // fetchAnnounced fetches the configuration of another instance, and reads the store as well if that fails or takes long: a
-// kept connection to the instance can have stopped responding without an error. A configuration from
-// an instance ends the read. While a read goes on alone, which can take long, the instances that announce a newer version
-// are asked.
+// kept connection to the instance can have stopped responding without an error. A configuration from an instance ends the
+// read. While a read goes on alone, which can take long, the instances that announce a newer version are asked.
 func (c *configurationManager) fetchAnnounced(ctx context.Context, addr netip.AddrPort) {
 	fetch := func(addr netip.AddrPort) <-chan bool {
 		return inBackground(func() bool { return c.fetchFrom(ctx, addr) })
--- a/sidecar/encoded_configuration_test.go
+++ b/sidecar/encoded_configuration_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
@@ -83,19 +85,36 @@
 	is.True(r.Encoded == nil)
 }
 
+// serveConfiguration lets other instances fetch the configuration of a manager, and returns the address.
+func serveConfiguration(t *testing.T, c *configurationManager) netip.AddrPort {
+	t.Helper()
+	server := link.NewControlServer()
+	link.Register(server, methodConfiguration, c.handleRequest)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // TestConfigurationIsPassedOnWithItsPosition guards against a watch that returns versions which another instance has sent.
 func TestConfigurationIsPassedOnWithItsPosition(t *testing.T) {
 	is := is.New(t)
-	c := newManager(t, encode(t, 1, 10), encode(t, 2, 11))
-	have := newManager(t, encode(t, 1, 10)).encoded()
-	out, err := c.handleRequest(context.Background(), configurationRequest{
-		HaveVersion: have.id().Version, HaveHash: have.id().Hash, AcceptsEncoded: true,
+	sender := newManager(t, encode(t, 1, 10), encode(t, 2, 11))
+	have := newManager(t, encode(t, 1, 10)).encoded().id()
+	out, err := sender.handleRequest(context.Background(), configurationRequest{
+		HaveVersion: have.Version, HaveHash: have.Hash, AcceptsEncoded: true,
 	})
 	is.NoErr(err)
-	r := out.(configurationResponse)
-	is.Equal(r.Base, have.id())
-	received, err := r.received(have)
-	is.NoErr(err)
-	is.Equal(string(received.specification), string(encode(t, 2, 11)))
-	is.Equal(received.position, Position{Revision: 20})
+	is.Equal(out.(configurationResponse).Base, have)
+	address := serveConfiguration(t, sender)
+	for _, c := range []*configurationManager{newManager(t, encode(t, 1, 10)), newManager(t)} {
+		is.True(c.fetchFrom(context.Background(), address))
+		active := c.current.Load()
+		is.Equal(string(active.encoded.specification), string(encode(t, 2, 11)))
+		is.Equal(active.position, Position{Revision: 20}) // for the instances that fetch it from here
+		is.Equal(c.position(), Position{Revision: 20})    // for the watch of this one
+	}
 }
